--- /dev/null
+++ b/crates/hemlockhitch/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router node.
--- /dev/null
+++ b/crates/hemlockhitch/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs the router node.
+
+fn main() {}
--- /dev/null
+++ b/crates/hemlockhitch_config/src/change/mod.rs
@@ -0,0 +1,32 @@
+//! Changes of the configuration.
+
+use hemlockhitch_model::ChangeId;
+use serde::{Deserialize, Serialize};
+
+use crate::configuration::{Row, RowKey};
+
+/// A new state for one row.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RowEdit {
+    /// The row that is edited.
+    pub key: RowKey,
+    /// The new row, or `None` to remove it.
+    pub row: Option<Row>,
+}
+
+/// One change of an operator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// Drawn by the operator's client, so that a lost answer can be resolved.
+    pub id: ChangeId,
+    /// The generation that the operator had read.
+    pub base_generation: u64,
+    /// Who made the change.
+    pub author: String,
+    /// Wall-clock time of the change, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
+    /// The rows that change.
+    pub edits: Vec<RowEdit>,
+}
--- /dev/null
+++ b/crates/hemlockhitch_config/src/configuration/mod.rs
@@ -0,0 +1,71 @@
+//! The configuration: rows, each with the generation that last changed it.
+
+mod row;
+
+pub use row::{
+    Allowance, Cascade, DataCentre, Endpoint, OrderCheck, Organisation, PlannedStop, RollOut,
+    RollOutState, Row, RowKey, RowKind, ServiceCall, Share, StopTarget, Version,
+};
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::change::Change;
+
+/// A row and the generation that last changed it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VersionedRow {
+    /// The row, or `None` once it was removed.
+    pub row: Option<Row>,
+    /// The generation that last changed or removed the row.
+    pub generation: u64,
+}
+
+/// The set of rows that is in force at one generation.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+    /// The number of changes that led here; it only grows.
+    pub generation: u64,
+    /// The rows by key; removed rows stay as markers for conflict checks.
+    pub rows: BTreeMap<RowKey, VersionedRow>,
+}
+
+impl Configuration {
+    /// Returns the rows of the change that others changed after its base
+    /// generation.
+    #[must_use]
+    pub fn conflicts(&self, change: &Change) -> Vec<RowKey> {
+        change
+            .edits
+            .iter()
+            .filter(|edit| {
+                self.rows
+                    .get(&edit.key)
+                    .is_some_and(|present| present.generation > change.base_generation)
+            })
+            .map(|edit| edit.key.clone())
+            .collect()
+    }
+
+    /// Applies a change that was accepted as the next generation.
+    pub fn apply(&mut self, change: &Change) {
+        self.generation += 1;
+        for edit in &change.edits {
+            let versioned = VersionedRow {
+                row: edit.row.clone(),
+                generation: self.generation,
+            };
+            self.rows.insert(edit.key.clone(), versioned);
+        }
+    }
+
+    /// Iterates over the rows that exist.
+    pub fn present_rows(&self) -> impl Iterator<Item = (&RowKey, &Row)> {
+        self.rows
+            .iter()
+            .filter_map(|(key, versioned)| versioned.row.as_ref().map(|row| (key, row)))
+    }
+}
--- /dev/null
+++ b/crates/hemlockhitch_config/src/lib.rs
@@ -0,0 +1,13 @@
+//! Settings, the operators' sheet and the configuration with its generations.
+//!
+//! A [`Configuration`] is a set of rows. Operators edit it by [`Change`]s, which
+//! are numbered by generation. The request path reads a [`RoutingTable`], which
+//! is compiled from a configuration once for each generation.
+
+pub mod change;
+pub mod configuration;
+pub mod table;
+
+pub use change::{Change, RowEdit};
+pub use configuration::{Configuration, Row, RowKey, RowKind, VersionedRow};
+pub use table::RoutingTable;
--- /dev/null
+++ b/crates/hemlockhitch_ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/hemlockhitch_ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs the operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/hemlockhitch_http/src/lib.rs
@@ -0,0 +1,1 @@
+//! The callers' API and the administration API.
--- /dev/null
+++ b/crates/hemlockhitch_ledger/src/lib.rs
@@ -0,0 +1,40 @@
+//! Claims, outcomes, bills and deferred work, kept in the key-value service.
+
+pub mod bill;
+pub mod claim;
+pub mod deferred;
+mod error;
+
+pub use error::{LedgerError, LedgerErrorKind};
+
+use std::future::Future;
+
+use hemlockhitch_model::{Now, RequestId};
+
+use bill::Bill;
+use claim::{Claim, ClaimAnswer, ClaimKey, Outcome};
+
+/// Records what must not be repeated and what must be paid for.
+pub trait Ledger: Clone + Send + Sync + 'static {
+    /// Claims a non-idempotent request before it is dispatched.
+    ///
+    /// An error means that the claim may or may not be recorded; the caller has
+    /// not dispatched and may answer "not run".
+    fn claim(
+        &self,
+        claim: Claim,
+        now: Now,
+    ) -> impl Future<Output = Result<ClaimAnswer, LedgerError>> + Send;
+
+    /// Records how a claimed request ended.
+    fn settle(
+        &self,
+        key: &ClaimKey,
+        attempt: RequestId,
+        outcome: Outcome,
+        now: Now,
+    ) -> impl Future<Output = Result<(), LedgerError>> + Send;
+
+    /// Records a bill; a second bill with the same request id has no effect.
+    fn bill(&self, bill: Bill, now: Now) -> impl Future<Output = Result<(), LedgerError>> + Send;
+}
--- /dev/null
+++ b/crates/hemlockhitch_model/src/lib.rs
@@ -0,0 +1,28 @@
+//! Shared domain types: keys, arenas, names, units and time.
+//!
+//! Every other package of the workspace depends on this one, so it holds plain
+//! data only and performs no I/O.
+//!
+//! ```
+//! use hemlockhitch_model::{Arena, EndpointKey};
+//!
+//! let mut endpoints: Arena<EndpointKey, &str> = Arena::new();
+//! let key = endpoints.push("e-1");
+//! assert_eq!(endpoints[key], "e-1");
+//! ```
+
+mod arena;
+mod class;
+mod id;
+mod name;
+mod time;
+
+pub use arena::{Arena, Key};
+pub use arena::{DataCentreKey, EndpointKey, ModelKey, OrganisationKey, ServiceKey, VersionKey};
+pub use class::{Class, ParseClassError};
+pub use id::{ChangeId, ParseIdError, RequestId};
+pub use name::{
+    DataCentreName, EndpointName, ModelName, NodeName, OrganisationName, RegionName, ServiceName,
+    VersionName,
+};
+pub use time::{Clock, ManualClock, Now, SystemClock};
--- /dev/null
+++ b/crates/hemlockhitch_model/src/time.rs
@@ -0,0 +1,93 @@
+//! Points in time and the clocks that give them.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// A point in time, on the monotonic clock of the process and on the wall clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Now {
+    /// Milliseconds since the clock was created; never runs backwards.
+    pub mono_ms: u64,
+    /// Milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+}
+
+/// A source of the present time.
+pub trait Clock: Clone + Send + Sync + 'static {
+    /// Returns the present time.
+    fn now(&self) -> Now;
+}
+
+/// The clock of the machine.
+#[derive(Clone, Copy, Debug)]
+pub struct SystemClock {
+    start: Instant,
+}
+
+impl SystemClock {
+    /// Creates a clock whose monotonic time starts at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Now {
+        let wall = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Now {
+            mono_ms: millis(self.start.elapsed().as_millis()),
+            unix_ms: millis(wall.as_millis()),
+        }
+    }
+}
+
+/// A clock that a test moves by hand.
+#[derive(Clone, Debug, Default)]
+pub struct ManualClock {
+    elapsed_ms: Arc<AtomicU64>,
+}
+
+impl ManualClock {
+    const START_UNIX_MS: u64 = 1_700_000_000_000;
+
+    /// Creates a clock that stands at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Moves the clock forward by `elapsed_ms` milliseconds.
+    pub fn advance(&self, elapsed_ms: u64) {
+        self.elapsed_ms.fetch_add(elapsed_ms, Ordering::SeqCst);
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Now {
+        let mono_ms = self.elapsed_ms.load(Ordering::SeqCst);
+        Now {
+            mono_ms,
+            unix_ms: Self::START_UNIX_MS + mono_ms,
+        }
+    }
+}
+
+fn millis(count: u128) -> u64 {
+    u64::try_from(count).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/hemlockhitch_peer/src/lib.rs
@@ -0,0 +1,3 @@
+//! Membership, dissemination, ownership and slot grants between nodes.
+
+pub mod slots;
--- /dev/null
+++ b/crates/hemlockhitch_peer/src/slots/mod.rs
@@ -0,0 +1,66 @@
+//! Slots: the permissions to run one request at an endpoint.
+
+mod local;
+
+pub use local::{LocalSlots, SlotGuard};
+
+use std::future::Future;
+
+use hemlockhitch_model::{EndpointName, Now};
+use thiserror::Error;
+
+/// What a node asks of an endpoint's owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SlotRequest {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// The most requests that the configuration allows at once while cold.
+    pub cold_limit: u32,
+    /// The most requests that the configuration allows at once when warm.
+    pub warm_limit: u32,
+}
+
+/// No slot can be had now; the request did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum SlotRefusal {
+    /// The endpoint bears no more.
+    #[error("endpoint is full; choose another endpoint")]
+    Full,
+    /// The endpoint is cold and its owner is not known.
+    #[error("endpoint is cold and has no owner; choose another endpoint")]
+    NoOwner,
+}
+
+/// What a finished request showed about its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotReport {
+    /// The endpoint served the request.
+    Served {
+        /// Milliseconds to the first token or answer.
+        first_token_ms: u64,
+    },
+    /// The endpoint refused the request.
+    Refused,
+    /// The endpoint could not be reached or broke off.
+    Failed,
+}
+
+/// A slot that is held; dropping it gives it back.
+pub trait Slot: Send + 'static {
+    /// Gives the slot back with what the request showed.
+    fn finish(self, report: SlotReport, now: Now);
+}
+
+/// Hands out slots.
+pub trait Slots: Clone + Send + Sync + 'static {
+    /// The slot that is handed out.
+    type Slot: Slot;
+
+    /// Takes a slot of an endpoint, or says why there is none; never waits for
+    /// one to become free.
+    fn acquire(
+        &self,
+        request: SlotRequest,
+        now: Now,
+    ) -> impl Future<Output = Result<Self::Slot, SlotRefusal>> + Send;
+}
--- /dev/null
+++ b/crates/hemlockhitch_policy/src/lib.rs
@@ -0,0 +1,6 @@
+//! Routing decisions as functions of their arguments, without I/O.
+//!
+//! The present time is an argument of every function that decides.
+
+pub mod endpoint;
+pub mod version;
--- /dev/null
+++ b/crates/hemlockhitch_router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The request path: admit, decide, claim, dispatch, relay and bill.
--- /dev/null
+++ b/crates/hemlockhitch_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the endpoints, for tests and the demo.
