--- /dev/null
+++ b/crates/hemlockhitch_standin/src/engine/mod.rs
@@ -0,0 +1,1 @@
+//! A model engine.
--- /dev/null
+++ b/crates/hemlockhitch_standin/src/key_value/mod.rs
@@ -0,0 +1,1 @@
+//! The key-value service.
--- /dev/null
+++ b/crates/hemlockhitch_standin/src/plain_service/mod.rs
@@ -0,0 +1,1 @@
+//! A plain service.
--- /dev/null
+++ b/crates/hemlockhitch_standin/src/rating/mod.rs
@@ -0,0 +1,1 @@
+//! The rating service.
--- /dev/null
+++ b/crates/hemlockhitch_standin/src/server/mod.rs
@@ -0,0 +1,131 @@
+//! A small HTTP server that the stand-ins share.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, JoinSet};
+
+/// The body of a stand-in's answer; an error in it breaks the connection.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// What a stand-in does with a request; an error breaks the connection.
+pub type Handled = Result<Response<Body>, io::Error>;
+
+/// A running server; dropping it closes every connection.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Listens on `address`; port 0 takes a free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn start<H, F>(address: SocketAddr, handler: H) -> io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Handled> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, handler));
+        Ok(Self { address, task })
+    }
+
+    /// Returns the address that the server listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Handled> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    connections.spawn(serve(stream, handler.clone()));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve<H, F>(stream: TcpStream, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Handled> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(handler);
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let _ = connection.await;
+}
+
+/// Reads the whole body of a request.
+///
+/// # Errors
+///
+/// Fails when the connection breaks.
+pub async fn read_body(request: Request<Incoming>) -> io::Result<Bytes> {
+    let body = request.into_body().collect().await;
+    body.map(http_body_util::Collected::to_bytes)
+        .map_err(io::Error::other)
+}
+
+/// Builds an answer with a JSON body.
+///
+/// # Errors
+///
+/// Fails when the message cannot be written as JSON.
+pub fn json_answer(status: StatusCode, message: &impl Serialize) -> Handled {
+    let body = serde_json::to_vec(message).map_err(io::Error::other)?;
+    answer(status, "application/json", body)
+}
+
+/// Builds an answer with a body that is known whole.
+///
+/// # Errors
+///
+/// Fails when the content type is not a valid header.
+pub fn answer(status: StatusCode, content_type: &str, body: impl Into<Bytes>) -> Handled {
+    Response::builder()
+        .status(status)
+        .header(header::CONTENT_TYPE, content_type)
+        .body(full(body))
+        .map_err(io::Error::other)
+}
+
+/// Wraps a whole body.
+pub fn full(body: impl Into<Bytes>) -> Body {
+    Full::new(body.into())
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
--- /dev/null
+++ b/crates/hemlockhitch_standin/src/vm_list/mod.rs
@@ -0,0 +1,1 @@
+//! The VM list.
--- /dev/null
+++ b/crates/hemlockhitch_standin/src/weights/mod.rs
@@ -0,0 +1,1 @@
+//! The weight store.
