--- /dev/null
+++ b/crates/hemlockhitch_peer/examples/generate.rs
@@ -0,0 +1,15 @@
+//! Writes the generated code of `proto/peer.proto` to `src/gen`.
+//!
+//! Run it from the package's directory after a change of the protocol:
+//! `cargo run -p hemlockhitch_peer --example generate`.
+
+use std::error::Error;
+use std::path::Path;
+
+#[path = "support/generator.rs"]
+mod generator;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let package = Path::new(env!("CARGO_MANIFEST_DIR"));
+    generator::generate(package, &package.join("src/gen"))
+}
--- /dev/null
+++ b/crates/hemlockhitch_peer/src/feed/source.rs
@@ -0,0 +1,38 @@
+//! The store that holds the configuration.
+
+use std::future::Future;
+
+use hemlockhitch_config::{Change, Configuration};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// A change and the generation that it leads to.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NumberedChange {
+    /// The generation after the change.
+    pub generation: u64,
+    /// The change.
+    pub change: Change,
+}
+
+/// The store of the configuration did not answer.
+#[derive(Clone, Debug, Error)]
+#[error("configuration store: {detail}; the configuration in force stays")]
+pub struct SourceError {
+    /// What went wrong.
+    pub detail: String,
+}
+
+/// Reads the configuration from where it is kept.
+pub trait ConfigurationSource: Clone + Send + Sync + 'static {
+    /// Reads the present configuration.
+    fn load(&self) -> impl Future<Output = Result<Configuration, SourceError>> + Send;
+
+    /// Waits up to `wait_ms` for the changes that follow `generation`, in order.
+    fn changes_after(
+        &self,
+        generation: u64,
+        wait_ms: u64,
+    ) -> impl Future<Output = Result<Vec<NumberedChange>, SourceError>> + Send;
+}
