Add the request path

Cause: a request had no way from a caller to an endpoint. Ruled out: resuming on another version, which would break the session's promise.

--- /dev/null
+++ b/crates/hemlockhitch_router/src/chat/plan.rs
@@ -0,0 +1,226 @@
+//! The decisions for a chat completion before its first dispatch.
+
+use hemlockhitch_endpoint::engine::ChatRequest;
+use hemlockhitch_model::{
+    Class, ModelKey, Now, OrganisationName, RequestId, VersionKey, VersionName,
+};
+use hemlockhitch_policy::version::{VersionRefusal, check_version, choose_version};
+
+use crate::backend::Backend;
+use crate::caller::Caller;
+use crate::refusal::{Refusal, RefusalKind};
+use crate::router::RouterParts;
+use crate::session::Session;
+use crate::suspect::{Fingerprint, MAX_CRASHES, Suspects};
+use crate::view::View;
+
+/// The model name that leaves the choice of model to the cascade.
+const AUTO_MODEL: &str = "auto";
+
+/// The most bytes of all messages together.
+const MAX_PROMPT_BYTES: usize = 900_000;
+
+/// What was decided for a chat completion.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    pub(crate) request_id: RequestId,
+    pub(crate) organisation: OrganisationName,
+    pub(crate) class: Class,
+    pub(crate) version_name: VersionName,
+    pub(crate) reason: &'static str,
+    pub(crate) generation: u64,
+    pub(crate) session: String,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) body: ChatRequest,
+}
+
+/// Decides version, session and class.
+pub(crate) fn plan<B: Backend>(
+    parts: &RouterParts<B>,
+    view: &View,
+    caller: &Caller,
+    body: ChatRequest,
+    now: Now,
+) -> Result<Plan, Refusal> {
+    check_body(&body)?;
+    let fingerprint = Fingerprint::of(&body);
+    check_crashes(parts, fingerprint, now)?;
+    let class = caller.class.unwrap_or(Class::Chat);
+    let organisation = view.table.organisations[caller.organisation]
+        .row
+        .name
+        .clone();
+    let opened = match &caller.session {
+        Some(token) => Some(open_session(parts, token, &organisation)?),
+        None => None,
+    };
+    let choice = match &opened {
+        Some(session) => keep_version(view, caller, session)?,
+        None => new_version(view, caller, &body, class)?,
+    };
+    let version_name = view.table.versions[choice.version].row.name.clone();
+    let session = opened.unwrap_or_else(|| Session {
+        organisation: organisation.clone(),
+        version: version_name.clone(),
+        opened_unix_ms: now.unix_ms,
+    });
+    Ok(Plan {
+        request_id: caller.request_id,
+        organisation,
+        class,
+        version_name,
+        reason: choice.reason,
+        generation: view.table.generation,
+        session: parts.session_key.mint(&session),
+        fingerprint,
+        body,
+    })
+}
+
+struct Choice {
+    version: VersionKey,
+    reason: &'static str,
+}
+
+fn check_body(body: &ChatRequest) -> Result<(), Refusal> {
+    let prompt_bytes: usize = body
+        .messages
+        .iter()
+        .map(|message| message.content.len())
+        .sum();
+    if body.messages.is_empty() {
+        return Err(Refusal::not_run(
+            RefusalKind::BadRequest,
+            "the request has no messages",
+            "send at least one message",
+        ));
+    }
+    if prompt_bytes > MAX_PROMPT_BYTES {
+        return Err(Refusal::not_run(
+            RefusalKind::BadRequest,
+            format!("the messages have {prompt_bytes} bytes"),
+            format!("send at most {MAX_PROMPT_BYTES} bytes"),
+        ));
+    }
+    Ok(())
+}
+
+fn check_crashes<B: Backend>(
+    parts: &RouterParts<B>,
+    fingerprint: Fingerprint,
+    now: Now,
+) -> Result<(), Refusal> {
+    if parts.suspects.crashes(fingerprint, now) < MAX_CRASHES {
+        return Ok(());
+    }
+    Err(Refusal::not_run(
+        RefusalKind::CrashesEndpoints,
+        "this request has crashed the endpoints that ran it",
+        "change the request; it will not be run again",
+    ))
+}
+
+fn open_session<B: Backend>(
+    parts: &RouterParts<B>,
+    token: &str,
+    organisation: &OrganisationName,
+) -> Result<Session, Refusal> {
+    let session = parts.session_key.verify(token).map_err(|error| {
+        Refusal::not_run(
+            RefusalKind::BadRequest,
+            error.to_string(),
+            "send the request without X-Hemlockhitch-Session",
+        )
+    })?;
+    if session.organisation == *organisation {
+        return Ok(session);
+    }
+    Err(Refusal::not_run(
+        RefusalKind::NotAllowed,
+        "the session belongs to another organisation",
+        "send the request without X-Hemlockhitch-Session",
+    ))
+}
+
+fn keep_version(view: &View, caller: &Caller, session: &Session) -> Result<Choice, Refusal> {
+    let version = view
+        .table
+        .version(session.version.as_str())
+        .ok_or_else(|| version_refusal(VersionRefusal::Withdrawn))?;
+    check_version(&view.table, caller.organisation, version).map_err(version_refusal)?;
+    Ok(Choice {
+        version,
+        reason: "the session's version",
+    })
+}
+
+fn new_version(
+    view: &View,
+    caller: &Caller,
+    body: &ChatRequest,
+    class: Class,
+) -> Result<Choice, Refusal> {
+    if let Some(version) = view.table.version(&body.model) {
+        check_version(&view.table, caller.organisation, version).map_err(version_refusal)?;
+        return Ok(Choice {
+            version,
+            reason: "named by the caller",
+        });
+    }
+    let model = find_model(view, caller, &body.model, class)?;
+    let session_hash = hash_of(caller.request_id);
+    let version = choose_version(&view.table, caller.organisation, model, session_hash)
+        .map_err(version_refusal)?;
+    Ok(Choice {
+        version,
+        reason: "share of new sessions",
+    })
+}
+
+fn find_model(view: &View, caller: &Caller, name: &str, class: Class) -> Result<ModelKey, Refusal> {
+    if name == AUTO_MODEL {
+        return first_of_cascade(view, caller, class);
+    }
+    view.table.model(name).ok_or_else(|| {
+        Refusal::not_run(
+            RefusalKind::NotFound,
+            format!("model {name:?} does not exist"),
+            "ask GET /v1/models for the models that you may use",
+        )
+    })
+}
+
+fn first_of_cascade(view: &View, caller: &Caller, class: Class) -> Result<ModelKey, Refusal> {
+    view.table.organisations[caller.organisation]
+        .cascades
+        .get(&class)
+        .and_then(|cascade| cascade.models.first())
+        .copied()
+        .ok_or_else(|| {
+            Refusal::not_run(
+                RefusalKind::NotAllowed,
+                format!("no cascade is set up for class {class}"),
+                "name a model, or ask your operator for a cascade",
+            )
+        })
+}
+
+fn version_refusal(refusal: VersionRefusal) -> Refusal {
+    match refusal {
+        VersionRefusal::NotAllowed => Refusal::not_run(
+            RefusalKind::NotAllowed,
+            "your organisation may not use this model or version",
+            "ask GET /v1/models for the models that you may use",
+        ),
+        VersionRefusal::Withdrawn => Refusal::not_run(
+            RefusalKind::Withdrawn,
+            "the version was withdrawn",
+            "open a new session: send the request without X-Hemlockhitch-Session",
+        ),
+    }
+}
+
+#[allow(clippy::cast_possible_truncation)]
+fn hash_of(request_id: RequestId) -> u64 {
+    request_id.as_u128() as u64
+}
