--- a/crates/hemlockhitch_config/src/change/mod.rs
+++ b/crates/hemlockhitch_config/src/change/mod.rs
@@ -30,3 +30,13 @@
     /// The rows that change.
     pub edits: Vec<RowEdit>,
 }
+
+/// A change that was accepted, and the generation that it became.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NumberedChange {
+    /// The generation.
+    pub generation: u64,
+    /// The change.
+    pub change: Change,
+}
--- a/crates/hemlockhitch_config/src/lib.rs
+++ b/crates/hemlockhitch_config/src/lib.rs
@@ -4,10 +4,13 @@
 //! are numbered by generation. The request path reads a [`RoutingTable`], which
 //! is compiled from a configuration once for each generation.
 
+pub mod admin;
 pub mod change;
 pub mod configuration;
+pub mod store;
 pub mod table;
 
-pub use change::{Change, RowEdit};
+pub use change::{Change, NumberedChange, RowEdit};
 pub use configuration::{Configuration, Row, RowKey, RowKind, VersionedRow};
+pub use store::Submission;
 pub use table::RoutingTable;
