--- a/crates/hemlockhitch_ledger/src/claim/mod.rs
+++ b/crates/hemlockhitch_ledger/src/claim/mod.rs
@@ -63,3 +63,17 @@
     /// The key was used for a different call.
     Mismatch,
 }
+
+/// The state of a claim that was recorded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimState {
+    /// The attempt that claimed last.
+    pub attempt: RequestId,
+    /// The digest of the call.
+    pub call_digest: String,
+    /// When it claimed, in milliseconds since the Unix epoch.
+    pub since_unix_ms: u64,
+    /// How the attempt ended, once that is recorded.
+    pub outcome: Option<Outcome>,
+}
--- a/crates/hemlockhitch_ledger/src/error.rs
+++ b/crates/hemlockhitch_ledger/src/error.rs
@@ -1,9 +1,11 @@
 //! Errors of the ledger.
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// The kinds of failure of the ledger.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum LedgerErrorKind {
     /// The store does not answer; retry later.
     Unavailable,
@@ -11,6 +13,10 @@
     Full,
     /// A stored record cannot be read.
     Corrupt,
+    /// The attempt does not hold the claim or is spent; claim with a new attempt.
+    NotHolder,
+    /// The record is larger than the store holds; shorten it.
+    TooLarge,
 }
 
 /// A failure of the ledger.
@@ -31,6 +37,12 @@
         }
     }
 
+    /// Returns what failed and what to do.
+    #[must_use]
+    pub fn detail(&self) -> &str {
+        &self.detail
+    }
+
     /// Returns the kind of the failure.
     #[must_use]
     pub fn kind(&self) -> LedgerErrorKind {
--- a/crates/hemlockhitch_ledger/src/lib.rs
+++ b/crates/hemlockhitch_ledger/src/lib.rs
@@ -1,9 +1,11 @@
 //! Claims, outcomes, bills and deferred work, kept in the key-value service.
 
 pub mod bill;
+pub mod call;
 pub mod claim;
 pub mod deferred;
 mod error;
+pub mod shard;
 
 pub use error::{LedgerError, LedgerErrorKind};
 
