Add membership, dissemination, ownership and slot grants between nodes

Nodes exchange bounded digests, a few per data centre follow the store, and buckets are leased in the key-value service. Slots are granted by the owner of the endpoint's bucket; without a clear owner a warm endpoint is used by fixed shares. The server runs on hyper directly, since tonic's router needs axum.

--- a/crates/hemlockhitch_peer/src/client.rs
+++ b/crates/hemlockhitch_peer/src/client.rs
@@ -64,6 +64,7 @@
     call!(hand_over(HandOverRequest) -> HandOverReply);
     call!(grant(GrantRequest) -> GrantReply);
     call!(settle(SettleRequest) -> SettleReply);
+    call!(holdings(HoldingsRequest) -> HoldingsReply);
     call!(ledger(LedgerRequest) -> LedgerReply);
 
     fn client(&self, address: &str) -> Result<PeerClient<Channel>, PeerError> {
--- a/crates/hemlockhitch_peer/src/feed/mod.rs
+++ b/crates/hemlockhitch_peer/src/feed/mod.rs
@@ -101,9 +101,7 @@
         if reached > before {
             self.shared.current.send_replace(current);
         }
-        changes
-            .last()
-            .is_none_or(|last| last.generation <= reached)
+        changes.last().is_none_or(|last| last.generation <= reached)
     }
 
     /// Returns what a peer at `generation` lacks.
--- a/crates/hemlockhitch_peer/src/gen/hemlockhitch.peer.rs
+++ b/crates/hemlockhitch_peer/src/gen/hemlockhitch.peer.rs
@@ -114,6 +114,9 @@
 pub struct OwnersRequest {}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct OwnersReply {
+    /// Notices that hold, for a node that starts.
+    #[prost(message, repeated, tag = "2")]
+    pub notices: ::prost::alloc::vec::Vec<Notice>,
     #[prost(message, repeated, tag = "1")]
     pub owners: ::prost::alloc::vec::Vec<Owner>,
 }
@@ -131,6 +134,9 @@
     /// Time left until the grant ends by itself.
     #[prost(uint64, tag = "5")]
     pub expires_in_ms: u64,
+    /// Whether the node took the slot from its fixed share, without an owner.
+    #[prost(bool, tag = "6")]
+    pub share: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HandOverRequest {
@@ -146,6 +152,9 @@
 pub struct HandOverReply {
     #[prost(bool, tag = "1")]
     pub taken: bool,
+    /// Version of the bucket's key under the new owner.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct GrantRequest {
@@ -205,6 +214,16 @@
     pub not_owned: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HoldingsRequest {
+    #[prost(uint32, repeated, tag = "1")]
+    pub buckets: ::prost::alloc::vec::Vec<u32>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct HoldingsReply {
+    #[prost(message, repeated, tag = "1")]
+    pub grants: ::prost::alloc::vec::Vec<Grant>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LedgerRequest {
     #[prost(bytes = "vec", tag = "1")]
     pub call_json: ::prost::alloc::vec::Vec<u8>,
@@ -288,6 +307,8 @@
     Granted = 1,
     Full = 2,
     NotOwner = 3,
+    /// The owner does not know yet what the former owner granted.
+    Closed = 4,
 }
 impl GrantAnswer {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -300,6 +321,7 @@
             Self::Granted => "GRANT_ANSWER_GRANTED",
             Self::Full => "GRANT_ANSWER_FULL",
             Self::NotOwner => "GRANT_ANSWER_NOT_OWNER",
+            Self::Closed => "GRANT_ANSWER_CLOSED",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -309,6 +331,7 @@
             "GRANT_ANSWER_GRANTED" => Some(Self::Granted),
             "GRANT_ANSWER_FULL" => Some(Self::Full),
             "GRANT_ANSWER_NOT_OWNER" => Some(Self::NotOwner),
+            "GRANT_ANSWER_CLOSED" => Some(Self::Closed),
             _ => None,
         }
     }
@@ -628,6 +651,28 @@
                 .insert(GrpcMethod::new("hemlockhitch.peer.Peer", "Settle"));
             self.inner.unary(req, path, codec).await
         }
+        /// Lists the slots that the called node holds at the endpoints of buckets.
+        pub async fn holdings(
+            &mut self,
+            request: impl tonic::IntoRequest<super::HoldingsRequest>,
+        ) -> std::result::Result<tonic::Response<super::HoldingsReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/hemlockhitch.peer.Peer/Holdings",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("hemlockhitch.peer.Peer", "Holdings"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Carries one call of the ledger, encoded as JSON.
         pub async fn ledger(
             &mut self,
@@ -710,6 +755,11 @@
             &self,
             request: tonic::Request<super::SettleRequest>,
         ) -> std::result::Result<tonic::Response<super::SettleReply>, tonic::Status>;
+        /// Lists the slots that the called node holds at the endpoints of buckets.
+        async fn holdings(
+            &self,
+            request: tonic::Request<super::HoldingsRequest>,
+        ) -> std::result::Result<tonic::Response<super::HoldingsReply>, tonic::Status>;
         /// Carries one call of the ledger, encoded as JSON.
         async fn ledger(
             &self,
@@ -1180,6 +1230,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/hemlockhitch.peer.Peer/Holdings" => {
+                    #[allow(non_camel_case_types)]
+                    struct HoldingsSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::HoldingsRequest>
+                    for HoldingsSvc<T> {
+                        type Response = super::HoldingsReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::HoldingsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::holdings(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = HoldingsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/hemlockhitch.peer.Peer/Ledger" => {
                     #[allow(non_camel_case_types)]
                     struct LedgerSvc<T: Peer>(pub Arc<T>);
--- a/crates/hemlockhitch_peer/src/hash.rs
+++ b/crates/hemlockhitch_peer/src/hash.rs
@@ -5,9 +5,9 @@
 
 /// Hashes text to 64 evenly spread bits.
 pub(crate) fn hash_text(text: &str) -> u64 {
-    let hash = text
-        .bytes()
-        .fold(FNV_OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME));
+    let hash = text.bytes().fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    });
     spread(hash)
 }
 
--- /dev/null
+++ b/crates/hemlockhitch_peer/src/ledger/mod.rs
@@ -0,0 +1,42 @@
+//! Calls of the ledger between nodes.
+
+use std::sync::Arc;
+
+use hemlockhitch_ledger::call::{LedgerCall, LedgerReply, LedgerTransport};
+use hemlockhitch_ledger::{LedgerError, LedgerErrorKind};
+
+use crate::shared::Shared;
+use crate::wire;
+
+/// Carries calls of the ledger to the nodes that own its shards.
+#[derive(Clone, Debug)]
+pub struct PeerTransport {
+    shared: Arc<Shared>,
+}
+
+impl PeerTransport {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+impl LedgerTransport for PeerTransport {
+    async fn call(&self, address: &str, call: LedgerCall) -> Result<LedgerReply, LedgerError> {
+        let call_json = serde_json::to_vec(&call).map_err(|error| unreadable(&error))?;
+        let request = wire::LedgerRequest { call_json };
+        let reply = self
+            .shared
+            .clients
+            .ledger(address, request)
+            .await
+            .map_err(|error| LedgerError::new(LedgerErrorKind::Unavailable, error.to_string()))?;
+        serde_json::from_slice(&reply.reply_json).map_err(|error| unreadable(&error))
+    }
+}
+
+fn unreadable(error: &serde_json::Error) -> LedgerError {
+    LedgerError::new(
+        LedgerErrorKind::Corrupt,
+        format!("message between nodes: {error}; run one release on all nodes"),
+    )
+}
--- a/crates/hemlockhitch_peer/src/member/mod.rs
+++ b/crates/hemlockhitch_peer/src/member/mod.rs
@@ -95,16 +95,24 @@
     /// Returns whether the node answers its peers and has not stopped.
     #[must_use]
     pub fn is_live(&self) -> bool {
-        self.status
-            .is_some_and(|status| status.health != Health::Dead && status.state != MemberState::Gone)
+        self.status.is_some_and(|status| {
+            status.health != Health::Dead && status.state != MemberState::Gone
+        })
     }
 
-    /// Returns whether the node may own buckets and follow the store.
+    /// Returns whether the node may own buckets.
     #[must_use]
-    pub fn is_eligible(&self) -> bool {
-        !self.leaving
-            && self.status.is_some_and(|status| {
-                status.health == Health::Alive && status.state == MemberState::Serving
-            })
+    pub fn may_own(&self) -> bool {
+        let serves = self
+            .status
+            .is_some_and(|status| status.state == MemberState::Serving);
+        serves && self.is_live() && !self.leaving
+    }
+
+    /// Returns whether no peer suspects the node.
+    #[must_use]
+    pub fn is_alive(&self) -> bool {
+        self.status
+            .is_some_and(|status| status.health == Health::Alive)
     }
 }
--- a/crates/hemlockhitch_peer/src/member/table.rs
+++ b/crates/hemlockhitch_peer/src/member/table.rs
@@ -2,11 +2,11 @@
 
 use std::collections::HashMap;
 
-use hemlockhitch_model::{DataCentreName, NodeName, Now};
+use hemlockhitch_model::{NodeName, Now};
 use hemlockhitch_platform::vm_list::Vm;
 
 use super::{Health, Identity, Member, MemberState, NodeId, Status};
-use crate::hash::{combine, hash_text};
+use crate::hash::{combine, hash_text, rendezvous};
 
 /// How many messages repeat an entry after it changed.
 const NEWS_REPEATS: u8 = 12;
@@ -72,15 +72,23 @@
         }
     }
 
-    pub(crate) fn own_id(&self) -> NodeId {
-        self.own_id
-    }
-
     /// Returns this node's own entry.
     pub(crate) fn own(&self) -> &Member {
         &self.rows[&self.own_id].member
     }
 
+    /// Returns this node's own state.
+    pub(crate) fn own_state(&self) -> MemberState {
+        self.own()
+            .status
+            .map_or(MemberState::Joining, |status| status.state)
+    }
+
+    /// Returns the generation that this node has told to have in force.
+    pub(crate) fn own_generation(&self) -> u64 {
+        self.own().status.map_or(0, |status| status.generation)
+    }
+
     pub(crate) fn get(&self, id: NodeId) -> Option<&Member> {
         self.rows.get(&id).map(|row| &row.member)
     }
@@ -92,10 +100,14 @@
     /// Counts one more exchange interval and judges suspicions.
     pub(crate) fn tick(&mut self, now: Now) {
         self.update_own(|status| status.heartbeat += 1);
+        self.judge_suspicions(now);
+        self.rows.retain(|_, row| !row.is_forgotten(now));
+    }
+
+    fn judge_suspicions(&mut self, now: Now) {
         for row in self.rows.values_mut() {
             row.expire_suspicion(self.suspicion_ms, now);
         }
-        self.rows.retain(|_, row| !row.is_forgotten(now));
     }
 
     /// Sets this node's state; a state never goes back.
@@ -205,14 +217,23 @@
             .collect()
     }
 
-    /// Returns whether the VM list or any news names another node.
-    pub(crate) fn has_others(&self) -> bool {
-        self.iter().any(|member| {
-            let gone = member
-                .status
-                .is_some_and(|status| status.state == MemberState::Gone);
-            member.id() != self.own_id && !gone && (member.listed || member.status.is_some())
-        })
+    /// Chooses up to `count` live members that have an older generation.
+    pub(crate) fn lagging(&self, generation: u64, count: usize) -> Vec<(NodeId, String)> {
+        let mut lagging: Vec<&Member> = self
+            .iter()
+            .filter(|member| member.id() != self.own_id && member.is_live())
+            .filter(|member| {
+                member
+                    .status
+                    .is_some_and(|status| status.generation < generation)
+            })
+            .collect();
+        fastrand::shuffle(&mut lagging);
+        lagging
+            .into_iter()
+            .take(count)
+            .map(|member| (member.id(), member.identity.address.clone()))
+            .collect()
     }
 
     /// Returns whether this node is one of the `watchers` nodes of its data
@@ -224,24 +245,35 @@
         let ahead = self
             .iter()
             .filter(|member| member.identity.data_centre == own.identity.data_centre)
-            .filter(|member| member.is_eligible() && member.id() != self.own_id)
+            .filter(|member| member.may_own() && member.is_alive())
+            .filter(|member| member.id() != self.own_id)
             .filter(|member| combine(key, member.id().0) > own_weight)
             .count();
         ahead < watchers
     }
 
-    /// Returns the names of the members of a data centre that answer.
-    pub(crate) fn live_in(&self, data_centre: &DataCentreName) -> usize {
+    /// Returns the newest generation that a live member has in force.
+    pub(crate) fn newest_generation(&self) -> u64 {
         self.iter()
-            .filter(|member| member.is_live() && member.identity.data_centre == *data_centre)
-            .count()
+            .filter(|member| member.is_live())
+            .filter_map(|member| member.status)
+            .map(|status| status.generation)
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Returns the member that should own what hashes to `key`.
+    pub(crate) fn desired_owner(&self, key: u64) -> Option<NodeId> {
+        let candidates = self.iter().filter(|member| member.may_own());
+        rendezvous(key, candidates.map(Member::id), |id| id.0)
     }
 
     /// Says which members have a generation in force and which are waited for.
     ///
     /// A dead member is waited for only when another listed member fell silent
     /// as well: both may be in a group that still hears itself.
-    pub(crate) fn in_force(&self, generation: u64) -> InForce {
+    pub(crate) fn in_force(&mut self, generation: u64, now: Now) -> InForce {
+        self.judge_suspicions(now);
         let group_may_live = self.iter().filter(|member| member.is_silent()).count() > 1;
         let mut answer = InForce::default();
         for member in self.iter() {
@@ -249,9 +281,10 @@
                 continue;
             };
             let name = member.identity.name.clone();
+            let joining = status.state == MemberState::Joining;
             if member.is_live() && status.generation >= generation {
                 answer.confirmed.push(name);
-            } else if member.is_live() || (member.is_silent() && group_may_live) {
+            } else if member.is_live() && !joining || member.is_silent() && group_may_live {
                 answer.waiting.push(name);
             }
         }
@@ -335,9 +368,9 @@
 
 impl Row {
     fn is_told(&self, to_itself: bool) -> bool {
-        self.member.status.is_some_and(|status| {
-            status.health != Health::Dead || self.news > 0 || to_itself
-        })
+        self.member
+            .status
+            .is_some_and(|status| status.health != Health::Dead || self.news > 0 || to_itself)
     }
 
     /// Takes in news: a higher incarnation replaces the entry; within one
--- a/crates/hemlockhitch_peer/src/notice/mod.rs
+++ b/crates/hemlockhitch_peer/src/notice/mod.rs
@@ -13,7 +13,7 @@
 const MAX_NOTICES: usize = 1_024;
 
 /// The longest key or value of a notice, in bytes.
-const MAX_TEXT_BYTES: usize = 256;
+const MAX_TEXT_BYTES: usize = 128;
 
 /// The longest time that a notice holds, in milliseconds.
 const MAX_VALIDITY_MS: u64 = 24 * 60 * 60 * 1_000;
@@ -85,7 +85,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when a text is longer than 256 bytes.
+    /// Fails when a text is longer than 128 bytes.
     pub fn post(&self, notice: Notice, now: Now) -> Result<(), PeerError> {
         notice.check()?;
         self.learn(notice, now);
--- /dev/null
+++ b/crates/hemlockhitch_peer/src/peers/listen.rs
@@ -0,0 +1,62 @@
+//! Accepts the connections of peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlockhitch_ledger::call::LedgerService;
+use hemlockhitch_model::Clock;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use super::server::PeerService;
+use crate::shared::Shared;
+use crate::wire::peer_server::PeerServer;
+
+/// The largest request that a node takes, in bytes.
+const MAX_REQUEST_BYTES: usize = 2 << 20;
+
+/// The flow-control window of a connection, in bytes.
+const WINDOW_BYTES: u32 = 64 << 10;
+
+/// The pause after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// Serves each connection in a task of its own until the node stops.
+pub(super) async fn serve<L: LedgerService, C: Clock>(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    service: PeerService<L, C>,
+) {
+    let server = PeerServer::new(service).max_decoding_message_size(MAX_REQUEST_BYTES);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => shared.spawn(serve_connection(stream, server.clone())),
+            Err(error) => {
+                tracing::warn!(event = "HH0609", %error, "connection not accepted");
+                sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<L: LedgerService, C: Clock>(
+    stream: TcpStream,
+    server: PeerServer<PeerService<L, C>>,
+) {
+    // Without it the connection works, with a little more delay.
+    let _ = stream.set_nodelay(true);
+    let mut builder = auto::Builder::new(TokioExecutor::new()).http2_only();
+    builder
+        .http2()
+        .initial_connection_window_size(WINDOW_BYTES)
+        .initial_stream_window_size(WINDOW_BYTES);
+    let served = builder
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(server))
+        .await;
+    if let Err(error) = served {
+        tracing::debug!(event = "HH0610", %error, "connection of a peer ended");
+    }
+}
--- /dev/null
+++ b/crates/hemlockhitch_peer/src/peers/server.rs
@@ -0,0 +1,220 @@
+//! Serves the calls of peers.
+
+use std::sync::Arc;
+
+use hemlockhitch_ledger::call::{LedgerCall, LedgerService};
+use hemlockhitch_model::{Clock, EndpointName, Now};
+use prost::Message;
+use tokio::sync::{mpsc, oneshot};
+use tonic::{Request, Response, Status};
+
+use crate::error::{PeerError, PeerErrorKind};
+use crate::exchange;
+use crate::feed::{Spread, decode_changes};
+use crate::member::{Identity, NodeId};
+use crate::notice::Notice;
+use crate::ownership::{Bucket, Owner, Take};
+use crate::shared::Shared;
+use crate::slots::{Grant, GrantAnswer, SlotRequest, holdings, serve_settle};
+use crate::wire;
+use crate::wire::peer_server::Peer;
+
+type Answer<T> = Result<Response<T>, Status>;
+
+/// The service of one node.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerService<L, C> {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) spread: Spread,
+    pub(crate) takes: mpsc::Sender<Take>,
+    pub(crate) ledger: L,
+    pub(crate) clock: C,
+}
+
+impl<L: LedgerService, C: Clock> PeerService<L, C> {
+    /// Admits a call: returns its message and the present time.
+    fn admit<T: Message>(&self, request: Request<T>) -> Result<(T, Now), PeerError> {
+        if self.shared.is_stopped() {
+            return Err(PeerError::new(PeerErrorKind::Stopped, "peer service"));
+        }
+        let message = request.into_inner();
+        self.shared.traffic.received(&message);
+        Ok((message, self.clock.now()))
+    }
+
+    fn reply<T: Message>(&self, message: T) -> Answer<T> {
+        self.shared.traffic.sent(&message);
+        Ok(Response::new(message))
+    }
+
+    fn grant_own(&self, request: wire::GrantRequest, now: Now) -> wire::GrantReply {
+        let node = NodeId(request.node_id);
+        let slot = SlotRequest {
+            endpoint: request.endpoint.into(),
+            cold_limit: request.cold_limit,
+            warm_limit: request.warm_limit,
+        };
+        let answer = self.shared.book().grant(node, request.grant_id, &slot, now);
+        let mut reply = wire::GrantReply::default();
+        match answer {
+            GrantAnswer::Granted { slots, warm } => {
+                reply.set_answer(wire::GrantAnswer::Granted);
+                reply.slots = slots;
+                reply.warm = warm;
+            }
+            GrantAnswer::Full => reply.set_answer(wire::GrantAnswer::Full),
+            GrantAnswer::Closed => reply.set_answer(wire::GrantAnswer::Closed),
+        }
+        reply
+    }
+}
+
+#[tonic::async_trait]
+impl<L: LedgerService, C: Clock> Peer for PeerService<L, C> {
+    async fn exchange(&self, request: Request<wire::Digest>) -> Answer<wire::Digest> {
+        let (digest, now) = self.admit(request)?;
+        exchange::check(&digest)?;
+        let absorbed = exchange::absorb(&self.shared, digest, now)?;
+        let peer = absorbed.sender;
+        let (shared, spread) = (self.shared.clone(), self.spread.clone());
+        self.shared.spawn(async move {
+            exchange::follow_up(&shared, &spread, absorbed, now).await;
+        });
+        let reply = exchange::compose(&self.shared, peer, now);
+        self.shared.traffic.digest(&reply);
+        self.reply(reply)
+    }
+
+    async fn describe(
+        &self,
+        request: Request<wire::DescribeRequest>,
+    ) -> Answer<wire::DescribeReply> {
+        let (message, _) = self.admit(request)?;
+        let members = self.shared.members();
+        let known = message
+            .node_ids
+            .iter()
+            .filter_map(|id| members.get(NodeId(*id)))
+            .map(|member| member.identity.to_wire(member.status))
+            .collect();
+        drop(members);
+        self.reply(wire::DescribeReply { members: known })
+    }
+
+    async fn push(&self, request: Request<wire::PushRequest>) -> Answer<wire::PushReply> {
+        let (message, _) = self.admit(request)?;
+        let sender = message.sender.unwrap_or_default();
+        let identity = Identity::from_wire(&sender)?;
+        let complete = match message.changes_json.as_slice() {
+            [] => false,
+            json => self.spread.take_changes(decode_changes(json)?),
+        };
+        if !complete {
+            self.spread.fetch_soon(identity.address);
+        }
+        let entry = self.shared.own_wire().entry;
+        self.reply(wire::PushReply { entry })
+    }
+
+    async fn fetch(&self, request: Request<wire::FetchRequest>) -> Answer<wire::FetchReply> {
+        let (message, _) = self.admit(request)?;
+        if !self.shared.is_loaded() {
+            let detail = "the called node has no configuration yet";
+            return Err(PeerError::new(PeerErrorKind::Unreachable, detail).into());
+        }
+        self.reply(self.spread.serve_fetch(message))
+    }
+
+    async fn post(&self, request: Request<wire::PostRequest>) -> Answer<wire::PostReply> {
+        let (message, now) = self.admit(request)?;
+        let notices = message
+            .notices
+            .into_iter()
+            .map(Notice::from_wire)
+            .collect::<Result<Vec<_>, PeerError>>()?;
+        for notice in notices {
+            self.shared.notices.learn(notice, now);
+        }
+        self.reply(wire::PostReply {})
+    }
+
+    async fn owners(&self, request: Request<wire::OwnersRequest>) -> Answer<wire::OwnersReply> {
+        let (_, now) = self.admit(request)?;
+        self.reply(wire::OwnersReply {
+            owners: self.shared.ownership.known(),
+            notices: self.shared.notices.valid(now),
+        })
+    }
+
+    async fn hand_over(
+        &self,
+        request: Request<wire::HandOverRequest>,
+    ) -> Answer<wire::HandOverReply> {
+        let (message, now) = self.admit(request)?;
+        let bucket = Bucket::from_code(message.bucket)
+            .ok_or_else(|| PeerError::new(PeerErrorKind::BadMessage, "unknown bucket"))?;
+        let grants = message.grants.into_iter();
+        let (answer, taken) = oneshot::channel();
+        let take = Take {
+            bucket,
+            version: message.version,
+            grants: grants.map(|grant| Grant::from_wire(grant, now)).collect(),
+            answer,
+        };
+        let sent = self.takes.send(take).await;
+        let version = match sent {
+            Ok(()) => taken.await.ok().flatten(),
+            Err(_) => None,
+        };
+        self.reply(wire::HandOverReply {
+            taken: version.is_some(),
+            version: version.unwrap_or_default(),
+        })
+    }
+
+    async fn grant(&self, request: Request<wire::GrantRequest>) -> Answer<wire::GrantReply> {
+        let (message, now) = self.admit(request)?;
+        let endpoint = EndpointName::from(message.endpoint.as_str());
+        let bucket = self.shared.ownership.endpoint_bucket(&endpoint);
+        let reply = match self.shared.ownership.owner(bucket, now) {
+            Owner::Here { .. } => self.grant_own(message, now),
+            Owner::At { .. } | Owner::Nobody => wire::GrantReply {
+                answer: wire::GrantAnswer::NotOwner.into(),
+                owner: self.shared.ownership.known_of(bucket),
+                ..wire::GrantReply::default()
+            },
+        };
+        self.reply(reply)
+    }
+
+    async fn settle(&self, request: Request<wire::SettleRequest>) -> Answer<wire::SettleReply> {
+        let (message, now) = self.admit(request)?;
+        self.reply(serve_settle(&self.shared, message, now))
+    }
+
+    async fn holdings(
+        &self,
+        request: Request<wire::HoldingsRequest>,
+    ) -> Answer<wire::HoldingsReply> {
+        let (message, now) = self.admit(request)?;
+        let buckets: Vec<Bucket> = message
+            .buckets
+            .into_iter()
+            .filter_map(Bucket::from_code)
+            .collect();
+        let held = holdings(&self.shared, &buckets, now);
+        let grants = held.iter().map(|grant| grant.to_wire(now)).collect();
+        self.reply(wire::HoldingsReply { grants })
+    }
+
+    async fn ledger(&self, request: Request<wire::LedgerRequest>) -> Answer<wire::LedgerReply> {
+        let (message, now) = self.admit(request)?;
+        let call: LedgerCall = serde_json::from_slice(&message.call_json).map_err(|error| {
+            PeerError::new(PeerErrorKind::BadMessage, format!("ledger call: {error}"))
+        })?;
+        let reply = self.ledger.handle(call, now).await;
+        let reply_json = serde_json::to_vec(&reply)
+            .map_err(|error| Status::internal(format!("ledger reply: {error}")))?;
+        self.reply(wire::LedgerReply { reply_json })
+    }
+}
--- /dev/null
+++ b/crates/hemlockhitch_peer/src/slots/codec.rs
@@ -0,0 +1,64 @@
+//! Conversion of grants to and from messages.
+
+use hemlockhitch_model::Now;
+
+use super::{Grant, SlotReport};
+use crate::member::NodeId;
+use crate::wire;
+
+impl Grant {
+    pub(crate) fn to_wire(&self, now: Now) -> wire::Grant {
+        wire::Grant {
+            grant_id: self.grant_id,
+            node_id: self.node.0,
+            endpoint: self.endpoint.to_string(),
+            slots: self.slots,
+            expires_in_ms: self.expires_mono_ms.saturating_sub(now.mono_ms),
+            share: self.share,
+        }
+    }
+
+    pub(crate) fn from_wire(message: wire::Grant, now: Now) -> Self {
+        Self {
+            node: NodeId(message.node_id),
+            grant_id: message.grant_id,
+            endpoint: message.endpoint.into(),
+            slots: message.slots,
+            expires_mono_ms: now.mono_ms.saturating_add(message.expires_in_ms),
+            share: message.share,
+        }
+    }
+}
+
+/// Adds a report to the message that gives a slot back.
+pub(crate) fn release_to_wire(
+    grant_id: u64,
+    endpoint: &str,
+    report: Option<SlotReport>,
+) -> wire::Release {
+    let (report, first_token_ms) = match report {
+        None => (wire::Report::Unused, 0),
+        Some(SlotReport::Served { first_token_ms }) => (wire::Report::Served, first_token_ms),
+        Some(SlotReport::Refused) => (wire::Report::Refused, 0),
+        Some(SlotReport::Failed) => (wire::Report::Failed, 0),
+    };
+    wire::Release {
+        grant_id,
+        endpoint: endpoint.to_owned(),
+        slots: 1,
+        report: report.into(),
+        first_token_ms,
+    }
+}
+
+/// Reads the report of a message that gives a slot back.
+pub(crate) fn report_from_wire(release: &wire::Release) -> Option<SlotReport> {
+    match release.report() {
+        wire::Report::Served => Some(SlotReport::Served {
+            first_token_ms: release.first_token_ms,
+        }),
+        wire::Report::Refused => Some(SlotReport::Refused),
+        wire::Report::Failed => Some(SlotReport::Failed),
+        wire::Report::Unused | wire::Report::Unspecified => None,
+    }
+}
--- a/crates/hemlockhitch_peer/src/slots/mod.rs
+++ b/crates/hemlockhitch_peer/src/slots/mod.rs
@@ -1,8 +1,18 @@
 //! Slots: the permissions to run one request at an endpoint.
 
+mod book;
+mod codec;
+mod holder;
+mod limit;
 mod local;
+mod remote;
+mod settle;
 
+pub use book::{Grant, GrantAnswer, GrantBook};
+pub(crate) use holder::Holder;
 pub use local::{LocalSlots, SlotGuard};
+pub use remote::{PeerSlot, PeerSlots};
+pub(crate) use settle::{give_back, holdings, learn_holdings, renew, serve_settle};
 
 use std::future::Future;
 
--- /dev/null
+++ b/crates/hemlockhitch_peer/src/slots/remote.rs
@@ -0,0 +1,202 @@
+//! Slots that are asked of the owners of endpoints.
+
+use std::sync::Arc;
+
+use hemlockhitch_model::{EndpointName, Now};
+use tokio::sync::mpsc;
+
+use super::holder::ShareAnswer;
+use super::{GrantAnswer, Slot, SlotRefusal, SlotReport, SlotRequest, Slots};
+use crate::hash::{combine, hash_text, rendezvous};
+use crate::member::Member;
+use crate::ownership::Owner;
+use crate::shared::Shared;
+use crate::wire;
+
+/// How many owners are asked for one slot before giving up.
+const OWNER_TRIES: usize = 2;
+
+/// Hands out slots of every endpoint; clones share them.
+#[derive(Clone, Debug)]
+pub struct PeerSlots {
+    shared: Arc<Shared>,
+    ended: mpsc::UnboundedSender<EndedSlot>,
+}
+
+/// A slot that was given back.
+#[derive(Debug)]
+pub(crate) struct EndedSlot {
+    pub(crate) grant_id: u64,
+    pub(crate) endpoint: EndpointName,
+    pub(crate) report: Option<SlotReport>,
+}
+
+/// A slot of [`PeerSlots`].
+#[derive(Debug)]
+pub struct PeerSlot {
+    slots: PeerSlots,
+    grant_id: u64,
+    endpoint: EndpointName,
+    report: Option<SlotReport>,
+}
+
+/// What one owner said.
+enum Asked {
+    Granted,
+    Full,
+    /// The owner cannot say; the fixed share may be used.
+    Unclear,
+    /// Another node owns the endpoint.
+    Elsewhere,
+}
+
+impl PeerSlots {
+    pub(crate) fn new(shared: Arc<Shared>, ended: mpsc::UnboundedSender<EndedSlot>) -> Self {
+        Self { shared, ended }
+    }
+
+    async fn ask(&self, request: &SlotRequest, grant_id: u64, now: Now) -> Asked {
+        let bucket = self.shared.ownership.endpoint_bucket(&request.endpoint);
+        match self.shared.ownership.owner(bucket, now) {
+            Owner::Here { .. } => self.ask_own_book(request, grant_id, now),
+            Owner::At { address, .. } => self.ask_owner(&address, request, grant_id, now).await,
+            Owner::Nobody => Asked::Unclear,
+        }
+    }
+
+    fn ask_own_book(&self, request: &SlotRequest, grant_id: u64, now: Now) -> Asked {
+        let own_id = self.shared.own_id;
+        match self.shared.book().grant(own_id, grant_id, request, now) {
+            GrantAnswer::Granted { warm, .. } => {
+                self.accept(request, grant_id, warm, now);
+                Asked::Granted
+            }
+            GrantAnswer::Full => Asked::Full,
+            GrantAnswer::Closed => Asked::Unclear,
+        }
+    }
+
+    async fn ask_owner(
+        &self,
+        address: &str,
+        request: &SlotRequest,
+        grant_id: u64,
+        now: Now,
+    ) -> Asked {
+        let message = wire::GrantRequest {
+            node_id: self.shared.own_id.0,
+            grant_id,
+            endpoint: request.endpoint.to_string(),
+            cold_limit: request.cold_limit,
+            warm_limit: request.warm_limit,
+        };
+        let Ok(reply) = self.shared.clients.grant(address, message).await else {
+            return Asked::Unclear;
+        };
+        match reply.answer() {
+            wire::GrantAnswer::Granted => {
+                self.accept(request, grant_id, reply.warm, now);
+                Asked::Granted
+            }
+            wire::GrantAnswer::Full => Asked::Full,
+            wire::GrantAnswer::NotOwner => {
+                if let Some(owner) = reply.owner {
+                    self.shared.ownership.learn_wire(owner);
+                }
+                Asked::Elsewhere
+            }
+            wire::GrantAnswer::Closed | wire::GrantAnswer::Unspecified => Asked::Unclear,
+        }
+    }
+
+    fn accept(&self, request: &SlotRequest, grant_id: u64, warm: bool, now: Now) {
+        let mut holder = self.shared.holder();
+        holder.add(&request.endpoint, grant_id);
+        holder.mark_warm(&request.endpoint, warm, now);
+    }
+
+    /// Takes a slot of the share that this node has without an owner's word.
+    fn take_share(
+        &self,
+        request: &SlotRequest,
+        grant_id: u64,
+        now: Now,
+    ) -> Result<(), SlotRefusal> {
+        let share = self.share(request);
+        let mut holder = self.shared.holder();
+        match holder.take_share(&request.endpoint, grant_id, share, now) {
+            ShareAnswer::Taken => Ok(()),
+            ShareAnswer::Full => Err(SlotRefusal::Full),
+            ShareAnswer::Cold => Err(SlotRefusal::NoOwner),
+        }
+    }
+
+    /// Counts the shared slots that fall to this node.
+    fn share(&self, request: &SlotRequest) -> u32 {
+        let members = self.shared.members();
+        let holders: Vec<u64> = members
+            .iter()
+            .filter(|member| member.listed || member.is_live())
+            .map(|member| Member::id(member).0)
+            .collect();
+        let endpoint = hash_text(request.endpoint.as_str());
+        let own = (0..request.shared_slots()).filter(|slot| {
+            let key = combine(endpoint, u64::from(*slot));
+            rendezvous(key, holders.iter().copied(), |id| id) == Some(self.shared.own_id.0)
+        });
+        u32::try_from(own.count()).unwrap_or_default()
+    }
+
+    fn slot(&self, request: SlotRequest, grant_id: u64) -> PeerSlot {
+        PeerSlot {
+            slots: self.clone(),
+            grant_id,
+            endpoint: request.endpoint,
+            report: None,
+        }
+    }
+}
+
+impl Slots for PeerSlots {
+    type Slot = PeerSlot;
+
+    async fn acquire(&self, request: SlotRequest, now: Now) -> Result<PeerSlot, SlotRefusal> {
+        let grant_id = fastrand::u64(..);
+        for _ in 0..OWNER_TRIES {
+            match self.ask(&request, grant_id, now).await {
+                Asked::Granted => return Ok(self.slot(request, grant_id)),
+                Asked::Full => return Err(SlotRefusal::Full),
+                Asked::Unclear => break,
+                Asked::Elsewhere => {}
+            }
+        }
+        self.take_share(&request, grant_id, now)?;
+        Ok(self.slot(request, grant_id))
+    }
+}
+
+impl Slot for PeerSlot {
+    fn finish(mut self, report: SlotReport, now: Now) {
+        self.report = Some(report);
+        let served = matches!(report, SlotReport::Served { .. });
+        let mut holder = self.slots.shared.holder();
+        let was_warm = holder.is_warm(&self.endpoint, now);
+        if !served || was_warm {
+            holder.mark_warm(&self.endpoint, served, now);
+        }
+    }
+}
+
+impl Drop for PeerSlot {
+    fn drop(&mut self) {
+        let mut holder = self.slots.shared.holder();
+        holder.remove(&self.endpoint, self.grant_id);
+        let ended = EndedSlot {
+            grant_id: self.grant_id,
+            endpoint: self.endpoint.clone(),
+            report: self.report,
+        };
+        // A node that has stopped tells nobody; its grants end by themselves.
+        let _ = self.slots.ended.send(ended);
+    }
+}
--- a/crates/hemlockhitch_peer/src/traffic.rs
+++ b/crates/hemlockhitch_peer/src/traffic.rs
@@ -46,9 +46,13 @@
     }
 
     pub(crate) fn received(&self, message: &impl Message) {
-        self.counts.received_messages.fetch_add(1, Ordering::Relaxed);
+        self.counts
+            .received_messages
+            .fetch_add(1, Ordering::Relaxed);
         let bytes = framed_bytes(message);
-        self.counts.received_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.counts
+            .received_bytes
+            .fetch_add(bytes, Ordering::Relaxed);
     }
 
     pub(crate) fn digest(&self, message: &impl Message) {
--- /dev/null
+++ b/crates/hemlockhitch_peer/tests/support/mod.rs
@@ -0,0 +1,316 @@
+//! A fleet of nodes inside one process, with faults that tests switch on.
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hemlockhitch_config::configuration::{Row, Version};
+use hemlockhitch_config::{Change, Configuration, RowEdit};
+use hemlockhitch_ledger::call::{LedgerCall, LedgerReply, LedgerService};
+use hemlockhitch_model::{ChangeId, Clock, Now, SystemClock};
+use hemlockhitch_peer::feed::{ConfigurationSource, NumberedChange, SourceError};
+use hemlockhitch_peer::{Fitness, PeerSettings, Peers};
+use hemlockhitch_platform::key_value::{
+    Entry, KeyValue, KeyValueError, KeyValueErrorKind, LeaseId, Listing, MemoryKeyValue, Swap,
+    SwapOutcome, WatchBatch,
+};
+use hemlockhitch_platform::vm_list::{Vm, VmList, VmListError};
+use tokio::time::{Instant, sleep};
+
+/// Bound of every wait of a test.
+const WAIT_BOUND: Duration = Duration::from_secs(10);
+
+/// Short intervals, so that tests wait little.
+pub fn settings() -> PeerSettings {
+    PeerSettings {
+        exchange_interval_ms: 100,
+        call_timeout_ms: 500,
+        suspicion_ms: 1_500,
+        self_stop_ms: 1_500,
+        vm_list_interval_ms: 100,
+        store_wait_ms: 300,
+        store_timeout_ms: 500,
+        lease_ttl_ms: 2_500,
+        lease_renew_ms: 500,
+        lease_margin_ms: 500,
+        hand_over_delay_ms: 500,
+        endpoint_buckets: 8,
+        ledger_shards: 4,
+        grant_ttl_ms: 2_500,
+        grant_renew_ms: 500,
+        ..PeerSettings::default()
+    }
+}
+
+/// Waits until `holds`, or fails the test.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + WAIT_BOUND;
+    while !holds() {
+        assert!(Instant::now() < deadline, "not within bound: {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// The platform and what the nodes of a fleet have in common.
+#[derive(Clone, Debug, Default)]
+pub struct Platform {
+    pub clock: SystemClock,
+    pub store: FaultyStore,
+    pub vms: Vms,
+    pub source: Changes,
+}
+
+impl Platform {
+    /// Cuts every node off from the store, or ends the cut.
+    pub fn store_down(&self, down: bool) {
+        self.store.down.store(down, Ordering::SeqCst);
+        self.source.down.store(down, Ordering::SeqCst);
+    }
+
+    /// Starts a node and puts it on the VM list.
+    pub async fn start(&self, name: &str) -> Peers {
+        let peers = self.start_unlisted(name, "dc-a").await;
+        self.vms.add(name, peers.address());
+        peers
+    }
+
+    pub async fn start_unlisted(&self, name: &str, data_centre: &str) -> Peers {
+        self.start_with(name, data_centre, self.clock).await
+    }
+
+    pub async fn start_with(&self, name: &str, data_centre: &str, clock: impl Clock) -> Peers {
+        Peers::builder()
+            .node(name)
+            .data_centre(data_centre)
+            .settings(settings())
+            .start(
+                self.store.clone(),
+                self.vms.clone(),
+                self.source.clone(),
+                EchoLedger,
+                clock,
+            )
+            .await
+            .unwrap()
+    }
+
+    /// Starts nodes `n1`, `n2`, … and waits until each knows all as serving.
+    pub async fn fleet(&self, count: usize) -> Vec<Peers> {
+        let mut fleet = Vec::new();
+        for number in 1..=count {
+            fleet.push(self.start(&format!("n{number}")).await);
+        }
+        until("all serving", || {
+            fleet.iter().all(|peers| {
+                let serving = peers.members().iter().filter(|m| m.may_own()).count();
+                serving == count
+            })
+        })
+        .await;
+        fleet
+    }
+}
+
+pub fn is_serving(peers: &Peers, clock: &impl Clock) -> bool {
+    peers.fitness(clock.now()) == Fitness::Serving
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Vms {
+    vms: Arc<Mutex<HashMap<String, Vm>>>,
+    down: Arc<AtomicBool>,
+}
+
+impl Vms {
+    pub fn add(&self, name: &str, address: &str) {
+        let vm = Vm {
+            name: name.into(),
+            peer_address: address.to_owned(),
+            data_centre: "dc-a".into(),
+            leaving: false,
+        };
+        self.vms.lock().unwrap().insert(name.to_owned(), vm);
+    }
+
+    pub fn remove(&self, name: &str) {
+        self.vms.lock().unwrap().remove(name);
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+    }
+}
+
+impl VmList for Vms {
+    async fn list(&self) -> Result<Vec<Vm>, VmListError> {
+        if self.down.load(Ordering::SeqCst) {
+            let detail = "down".to_owned();
+            return Err(VmListError { detail });
+        }
+        Ok(self.vms.lock().unwrap().values().cloned().collect())
+    }
+}
+
+/// The stored changes of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Changes {
+    changes: Arc<Mutex<Vec<Change>>>,
+    pub down: Arc<AtomicBool>,
+    pub reads: Arc<AtomicU64>,
+}
+
+impl Changes {
+    /// Stores one more change and returns it with its generation.
+    pub fn accept(&self) -> NumberedChange {
+        let mut changes = self.changes.lock().unwrap();
+        let generation = changes.len() as u64 + 1;
+        let change = change(generation);
+        changes.push(change.clone());
+        NumberedChange { generation, change }
+    }
+
+    fn check(&self) -> Result<(), SourceError> {
+        self.reads.fetch_add(1, Ordering::SeqCst);
+        if self.down.load(Ordering::SeqCst) {
+            let detail = "down".to_owned();
+            return Err(SourceError { detail });
+        }
+        Ok(())
+    }
+
+    fn after(&self, generation: u64) -> Vec<NumberedChange> {
+        let changes = self.changes.lock().unwrap();
+        (1..)
+            .zip(changes.iter().cloned())
+            .filter(|(number, _)| *number > generation)
+            .map(|(generation, change)| NumberedChange { generation, change })
+            .collect()
+    }
+}
+
+impl ConfigurationSource for Changes {
+    async fn load(&self) -> Result<Configuration, SourceError> {
+        self.check()?;
+        let mut configuration = Configuration::default();
+        for numbered in self.after(0) {
+            configuration.apply(&numbered.change);
+        }
+        Ok(configuration)
+    }
+
+    async fn changes_after(
+        &self,
+        generation: u64,
+        wait_ms: u64,
+    ) -> Result<Vec<NumberedChange>, SourceError> {
+        self.check()?;
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        while self.after(generation).is_empty() && Instant::now() < deadline {
+            sleep(Duration::from_millis(10)).await;
+        }
+        self.check()?;
+        Ok(self.after(generation))
+    }
+}
+
+fn change(generation: u64) -> Change {
+    let row = Row::Version(Version {
+        name: format!("m@{generation}").as_str().into(),
+        withdrawn: false,
+        prompt_price_micros: 1,
+        completion_price_micros: 1,
+    });
+    Change {
+        id: ChangeId::from_u128(u128::from(generation)),
+        base_generation: generation - 1,
+        author: "operator".to_owned(),
+        at_unix_ms: 0,
+        edits: vec![RowEdit {
+            key: row.key(),
+            row: Some(row),
+        }],
+    }
+}
+
+/// A store whose calls can be made to fail, and are counted.
+#[derive(Clone, Debug, Default)]
+pub struct FaultyStore {
+    pub inner: MemoryKeyValue,
+    pub down: Arc<AtomicBool>,
+    /// The next write takes effect and its answer is lost.
+    pub lose_answer: Arc<AtomicBool>,
+    pub calls: Arc<AtomicU64>,
+}
+
+impl FaultyStore {
+    fn check(&self) -> Result<(), KeyValueError> {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        if self.down.load(Ordering::SeqCst) {
+            return Err(KeyValueError::new(KeyValueErrorKind::Unavailable, "down"));
+        }
+        Ok(())
+    }
+}
+
+impl KeyValue for FaultyStore {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, KeyValueError> {
+        self.check()?;
+        self.inner.get(key).await
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> Result<Listing, KeyValueError> {
+        self.check()?;
+        self.inner.list(prefix, after, limit).await
+    }
+
+    async fn swap(&self, swap: Swap) -> Result<SwapOutcome, KeyValueError> {
+        self.check()?;
+        let outcome = self.inner.swap(swap).await;
+        if self.lose_answer.swap(false, Ordering::SeqCst) {
+            return Err(KeyValueError::new(KeyValueErrorKind::Unknown, "lost"));
+        }
+        outcome
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        revision: u64,
+        wait_ms: u64,
+    ) -> Result<WatchBatch, KeyValueError> {
+        self.check()?;
+        self.inner.watch(prefix, revision, wait_ms).await
+    }
+
+    async fn lease_grant(&self, ttl_ms: u64) -> Result<LeaseId, KeyValueError> {
+        self.check()?;
+        self.inner.lease_grant(ttl_ms).await
+    }
+
+    async fn lease_renew(&self, lease: LeaseId) -> Result<(), KeyValueError> {
+        self.check()?;
+        self.inner.lease_renew(lease).await
+    }
+
+    async fn lease_revoke(&self, lease: LeaseId) -> Result<(), KeyValueError> {
+        self.check()?;
+        self.inner.lease_revoke(lease).await
+    }
+}
+
+/// A ledger that answers every call in the same way.
+#[derive(Clone, Debug)]
+pub struct EchoLedger;
+
+impl LedgerService for EchoLedger {
+    async fn handle(&self, _call: LedgerCall, _now: Now) -> LedgerReply {
+        LedgerReply::Recorded
+    }
+}
