Add the callers' API and the administration API

Cause: the request path had no HTTP in front of it. Change: chat completions whole and streamed, models, plain services, health and readiness; the administration API with tokens, roles and an organisation's own view, compared in constant time. Conclusion: what is missing is the wiring of a node.

--- /dev/null
+++ b/crates/hemlockhitch_http/src/callers/completion.rs
@@ -0,0 +1,124 @@
+//! The JSON of chat completions, whole and as events.
+
+use hemlockhitch_endpoint::engine::{Chunk, Usage};
+use hemlockhitch_model::{RequestId, VersionName};
+use serde::Serialize;
+
+/// A whole completion.
+#[derive(Debug, Serialize)]
+pub(super) struct Completion {
+    id: String,
+    object: &'static str,
+    model: String,
+    choices: [Choice; 1],
+    usage: UsageCounts,
+}
+
+/// One event of a streamed completion.
+#[derive(Debug, Serialize)]
+pub(super) struct CompletionChunk {
+    id: String,
+    object: &'static str,
+    model: String,
+    choices: [ChunkChoice; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<UsageCounts>,
+}
+
+#[derive(Debug, Serialize)]
+struct Choice {
+    index: u32,
+    message: Message,
+    finish_reason: Option<String>,
+}
+
+#[derive(Debug, Serialize)]
+struct ChunkChoice {
+    index: u32,
+    delta: Delta,
+    finish_reason: Option<String>,
+}
+
+#[derive(Debug, Serialize)]
+struct Message {
+    role: &'static str,
+    content: String,
+}
+
+#[derive(Debug, Serialize)]
+struct Delta {
+    content: String,
+}
+
+#[derive(Debug, Serialize)]
+struct UsageCounts {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+    total_tokens: u32,
+}
+
+impl From<Usage> for UsageCounts {
+    fn from(usage: Usage) -> Self {
+        Self {
+            prompt_tokens: usage.prompt_tokens,
+            completion_tokens: usage.completion_tokens,
+            total_tokens: usage.prompt_tokens + usage.completion_tokens,
+        }
+    }
+}
+
+/// Gathers the chunks of an answer.
+#[derive(Debug, Default)]
+pub(super) struct Gathered {
+    text: String,
+    finish_reason: Option<String>,
+    usage: Usage,
+}
+
+impl Gathered {
+    /// Adds the next chunk.
+    pub(super) fn add(&mut self, chunk: Chunk) {
+        self.text.push_str(&chunk.text);
+        self.finish_reason = chunk.finish_reason;
+        self.usage = chunk.usage.unwrap_or(self.usage);
+    }
+
+    /// Returns the whole completion.
+    pub(super) fn into_completion(self, id: RequestId, version: &VersionName) -> Completion {
+        Completion {
+            id: completion_id(id),
+            object: "chat.completion",
+            model: version.to_string(),
+            choices: [Choice {
+                index: 0,
+                message: Message {
+                    role: "assistant",
+                    content: self.text,
+                },
+                finish_reason: self.finish_reason,
+            }],
+            usage: self.usage.into(),
+        }
+    }
+}
+
+/// Builds the event for one chunk.
+pub(super) fn event(chunk: Chunk, version: &VersionName) -> CompletionChunk {
+    CompletionChunk {
+        id: completion_id(chunk.request_id),
+        object: "chat.completion.chunk",
+        model: version.to_string(),
+        choices: [ChunkChoice {
+            index: 0,
+            delta: Delta {
+                content: chunk.text,
+            },
+            finish_reason: chunk.finish_reason,
+        }],
+        usage: chunk.usage.map(UsageCounts::from),
+    }
+}
+
+fn completion_id(id: RequestId) -> String {
+    format!("chatcmpl-{id}")
+}
--- /dev/null
+++ b/crates/hemlockhitch_http/src/callers/health.rs
@@ -0,0 +1,62 @@
+//! Health and readiness for the balancer.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use salvo::http::StatusCode;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+
+/// Answers that the process lives.
+pub(super) struct Health;
+
+#[async_trait]
+impl Handler for Health {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        response.status_code(StatusCode::OK);
+        response.render("ok\n");
+    }
+}
+
+/// Whether the balancer should send work to the node; clones share the state.
+#[derive(Clone, Debug, Default)]
+pub struct Readiness {
+    ready: Arc<AtomicBool>,
+}
+
+impl Readiness {
+    /// Creates the state as not ready.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets whether the node is ready.
+    pub fn set(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Relaxed);
+    }
+}
+
+#[async_trait]
+impl Handler for Readiness {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        if self.ready.load(Ordering::Relaxed) {
+            response.status_code(StatusCode::OK);
+            response.render("ready\n");
+        } else {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            response.render("not ready: send work to another node\n");
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlockhitch_http/src/callers/models.rs
@@ -0,0 +1,67 @@
+//! The list of models that a caller may use.
+
+use hemlockhitch_router::{Backend, Caller, Router, View};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use serde::Serialize;
+
+use super::{answer, headers};
+
+/// Answers `GET /v1/models`.
+pub(super) struct Models<B: Backend> {
+    pub(super) router: Router<B>,
+}
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelItem>,
+}
+
+#[derive(Serialize)]
+struct ModelItem {
+    id: String,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+#[async_trait]
+impl<B: Backend> Handler for Models<B> {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        match self.router.authenticate(headers::read(request)) {
+            Ok(caller) => answer::json(response, list(&self.router.view(), &caller)),
+            Err(refusal) => answer::refuse(response, &refusal),
+        }
+    }
+}
+
+fn list(view: &View, caller: &Caller) -> ModelList {
+    let allowed = &view.table.organisations[caller.organisation].allowed;
+    let mut names: Vec<String> = Vec::new();
+    for (model, versions) in allowed {
+        names.push(view.table.models[*model].name.to_string());
+        let live = versions
+            .iter()
+            .map(|allowed| &view.table.versions[allowed.version].row)
+            .filter(|version| !version.withdrawn);
+        names.extend(live.map(|version| version.name.to_string()));
+    }
+    names.sort();
+    ModelList {
+        object: "list",
+        data: names.into_iter().map(item).collect(),
+    }
+}
+
+fn item(id: String) -> ModelItem {
+    ModelItem {
+        id,
+        object: "model",
+        owned_by: "hemlockhitch",
+    }
+}
--- a/crates/hemlockhitch_http/src/lib.rs
+++ b/crates/hemlockhitch_http/src/lib.rs
@@ -1,1 +1,5 @@
 //! The callers' API and the administration API.
+
+pub mod admin;
+pub mod callers;
+pub mod server;
--- a/crates/hemlockhitch_router/src/chat/plan.rs
+++ b/crates/hemlockhitch_router/src/chat/plan.rs
@@ -97,7 +97,7 @@
     }
     if prompt_bytes > MAX_PROMPT_BYTES {
         return Err(Refusal::not_run(
-            RefusalKind::BadRequest,
+            RefusalKind::TooLarge,
             format!("the messages have {prompt_bytes} bytes"),
             format!("send at most {MAX_PROMPT_BYTES} bytes"),
         ));
--- a/crates/hemlockhitch_router/src/chat/relay.rs
+++ b/crates/hemlockhitch_router/src/chat/relay.rs
@@ -145,7 +145,7 @@
         Ok(())
     }
 
-    async fn crashes(&self) -> u32 {
+    async fn crashes(&mut self) -> u32 {
         let now = self.router.now();
         let suspects = &self.router.parts.suspects;
         suspects.crashed(self.plan.fingerprint, now).await
--- a/crates/hemlockhitch_router/src/refusal/kind.rs
+++ b/crates/hemlockhitch_router/src/refusal/kind.rs
@@ -7,6 +7,8 @@
     Unauthenticated,
     /// The request cannot be read.
     BadRequest,
+    /// The request is larger than the router takes.
+    TooLarge,
     /// The organisation may not use the model, version or service.
     NotAllowed,
     /// No such model, version or service exists.
@@ -44,6 +46,7 @@
         match self {
             Self::Unauthenticated => "unauthenticated",
             Self::BadRequest => "bad_request",
+            Self::TooLarge => "too_large",
             Self::NotAllowed => "not_allowed",
             Self::NotFound => "not_found",
             Self::Withdrawn => "version_withdrawn",
@@ -71,6 +74,7 @@
             Self::NotFound => 404,
             Self::InProgress | Self::OutcomeUnknown => 409,
             Self::Withdrawn => 410,
+            Self::TooLarge => 413,
             Self::KeyMismatch | Self::CrashesEndpoints => 422,
             Self::Overloaded => 429,
             Self::EndpointFailed => 502,
