Prove the request path on fakes, and count pending bills as in flight

Cause: a bill that was delivered in the background counted as in flight only once its task ran, so a drain could end before the bill was recorded. Ruled out: a race in the test; the count was zero right after the caller left. Change: the count is taken before the task is spawned, for bills and outcomes. Before: cancelled_answer_is_billed_for_what_was_relayed failed with no bill. After: 17 of 17 request path tests pass. Conclusion: a drain waits for every bill and outcome that is not yet recorded.

--- a/crates/hemlockhitch_router/src/billing/mod.rs
+++ b/crates/hemlockhitch_router/src/billing/mod.rs
@@ -7,6 +7,7 @@
 use hemlockhitch_ledger::Ledger;
 use hemlockhitch_ledger::bill::Bill;
 use hemlockhitch_model::Clock;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::backend::Backend;
@@ -54,17 +55,21 @@
     /// Delivers a bill; returns when it is recorded or the wait is over, after
     /// which the delivery goes on in the background.
     pub(crate) async fn deliver(&self, bill: Bill) {
-        let delivery = tokio::spawn(self.clone().deliver_until_recorded(bill));
-        let _ = timeout(self.wait, delivery).await;
+        let _ = timeout(self.wait, self.start(bill)).await;
     }
 
     /// Delivers a bill in the background.
     pub(crate) fn deliver_later(&self, bill: Bill) {
-        tokio::spawn(self.clone().deliver_until_recorded(bill));
+        drop(self.start(bill));
     }
 
-    async fn deliver_until_recorded(self, bill: Bill) {
-        let _guard: Option<InFlightGuard> = self.in_flight.enter(usize::MAX);
+    /// Starts the delivery, which counts as in flight until the bill is recorded.
+    fn start(&self, bill: Bill) -> JoinHandle<()> {
+        let guard = self.in_flight.enter(usize::MAX);
+        tokio::spawn(self.clone().deliver_until_recorded(bill, guard))
+    }
+
+    async fn deliver_until_recorded(self, bill: Bill, _guard: Option<InFlightGuard>) {
         loop {
             let recorded = self.ledger.bill(bill.clone(), self.clock.now()).await;
             let Err(error) = recorded else { return };
--- a/crates/hemlockhitch_router/src/call/claimed.rs
+++ b/crates/hemlockhitch_router/src/call/claimed.rs
@@ -136,8 +136,9 @@
     }
     let router = router.clone();
     let claim = claim.clone();
+    let guard = router.in_flight().enter(usize::MAX);
     tokio::spawn(async move {
-        let _guard = router.in_flight().enter(usize::MAX);
+        let _guard = guard;
         while !settle_once(&router, &claim, outcome.clone()).await {
             sleep(SETTLE_PAUSE).await;
         }
--- a/crates/hemlockhitch_router/src/settings.rs
+++ b/crates/hemlockhitch_router/src/settings.rs
@@ -40,29 +40,29 @@
 
     /// Sets the most requests in flight on the node.
     #[must_use]
-    pub fn in_flight(mut self, in_flight: impl Into<usize>) -> Self {
-        self.in_flight = in_flight.into();
+    pub fn in_flight(mut self, in_flight: usize) -> Self {
+        self.in_flight = in_flight;
         self
     }
 
     /// Sets the most milliseconds that one answer may take.
     #[must_use]
-    pub fn answer_ms(mut self, answer_ms: impl Into<u64>) -> Self {
-        self.answer_ms = answer_ms.into();
+    pub fn answer_ms(mut self, answer_ms: u64) -> Self {
+        self.answer_ms = answer_ms;
         self
     }
 
     /// Sets the most milliseconds that a bill may delay the end of an answer.
     #[must_use]
-    pub fn bill_wait_ms(mut self, bill_wait_ms: impl Into<u64>) -> Self {
-        self.bill_wait_ms = bill_wait_ms.into();
+    pub fn bill_wait_ms(mut self, bill_wait_ms: u64) -> Self {
+        self.bill_wait_ms = bill_wait_ms;
         self
     }
 
     /// Sets the most dispatches of one chat completion.
     #[must_use]
-    pub fn dispatches(mut self, dispatches: impl Into<usize>) -> Self {
-        self.dispatches = dispatches.into();
+    pub fn dispatches(mut self, dispatches: usize) -> Self {
+        self.dispatches = dispatches;
         self
     }
 }
--- /dev/null
+++ b/crates/hemlockhitch_router/tests/request_path/support/engine.rs
@@ -0,0 +1,126 @@
+//! A fake model engine whose answers follow a script.
+
+use std::collections::{HashMap, VecDeque};
+
+use hemlockhitch_endpoint::engine::{
+    Answer, Chunk, Engine, EngineError, EngineErrorKind, EngineRequest, LoadReport, Order,
+    OrderAnswer, Usage,
+};
+
+use crate::support::{Shared, lock};
+
+/// Tokens of every whole answer.
+const ANSWER_TOKENS: u32 = 6;
+
+/// What an engine does with its next request.
+#[derive(Clone, Copy, Debug)]
+pub enum EngineScript {
+    /// Fails before a chunk.
+    Fail(EngineErrorKind),
+    /// Fails after some tokens.
+    FailAfter(u32, EngineErrorKind),
+}
+
+/// Engines by address; an engine without a script answers whole.
+#[derive(Clone, Default)]
+pub struct FakeEngine {
+    scripts: Shared<HashMap<String, VecDeque<EngineScript>>>,
+    always: Shared<Option<EngineScript>>,
+    calls: Shared<Vec<String>>,
+}
+
+impl FakeEngine {
+    /// Adds a script for the next request at an address.
+    pub fn script(&self, address: &str, script: EngineScript) {
+        lock(&self.scripts)
+            .entry(address.to_owned())
+            .or_default()
+            .push_back(script);
+    }
+
+    /// Makes every engine follow a script.
+    pub fn always(&self, script: EngineScript) {
+        *lock(&self.always) = Some(script);
+    }
+
+    /// Returns the addresses that were called, in order.
+    pub fn calls(&self) -> Vec<String> {
+        lock(&self.calls).clone()
+    }
+
+    fn next_script(&self, address: &str) -> Option<EngineScript> {
+        let scripted = lock(&self.scripts)
+            .get_mut(address)
+            .and_then(VecDeque::pop_front);
+        scripted.or(*lock(&self.always))
+    }
+}
+
+/// The answer of a fake engine.
+pub struct FakeAnswer {
+    request: EngineRequest,
+    address: String,
+    next_token: u32,
+    script: Option<EngineScript>,
+}
+
+impl Engine for FakeEngine {
+    type Answer = FakeAnswer;
+
+    async fn complete(
+        &self,
+        address: &str,
+        request: EngineRequest,
+    ) -> Result<FakeAnswer, EngineError> {
+        lock(&self.calls).push(address.to_owned());
+        let script = self.next_script(address);
+        if let Some(EngineScript::Fail(kind)) = script {
+            return Err(EngineError::new(kind, address, "scripted"));
+        }
+        Ok(FakeAnswer {
+            next_token: request.resume_offset_tokens,
+            request,
+            address: address.to_owned(),
+            script,
+        })
+    }
+
+    async fn load(&self, address: &str) -> Result<LoadReport, EngineError> {
+        Err(EngineError::new(
+            EngineErrorKind::Protocol,
+            address,
+            "no reports",
+        ))
+    }
+
+    async fn order(&self, _address: &str, _order: Order) -> Result<OrderAnswer, EngineError> {
+        Ok(OrderAnswer::Accepted)
+    }
+}
+
+impl Answer for FakeAnswer {
+    async fn next(&mut self) -> Result<Option<Chunk>, EngineError> {
+        if let Some(EngineScript::FailAfter(tokens, kind)) = self.script
+            && self.next_token >= tokens
+        {
+            return Err(EngineError::new(kind, &self.address, "scripted"));
+        }
+        if self.next_token >= ANSWER_TOKENS {
+            return Ok(None);
+        }
+        let token = self.next_token;
+        self.next_token += 1;
+        let last = self.next_token == ANSWER_TOKENS;
+        Ok(Some(Chunk {
+            request_id: self.request.request_id,
+            offset_tokens: token,
+            tokens: 1,
+            text: format!("{token}."),
+            finish_reason: last.then(|| "stop".to_owned()),
+            usage: last.then_some(Usage {
+                prompt_tokens: 10,
+                completion_tokens: ANSWER_TOKENS,
+            }),
+        }))
+    }
+}
