--- a/crates/hemlockhitch_config/src/lib.rs
+++ b/crates/hemlockhitch_config/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod admin;
 pub mod change;
 pub mod configuration;
+pub mod settings;
 pub mod store;
 pub mod table;
 
 pub use change::{Change, NumberedChange, RowEdit};
 pub use configuration::{Configuration, Row, RowKey, RowKind, VersionedRow};
+pub use settings::Settings;
 pub use store::Submission;
 pub use table::RoutingTable;
--- /dev/null
+++ b/crates/hemlockhitch_config/src/settings/mod.rs
@@ -0,0 +1,82 @@
+//! Settings of one node, read from an INI file.
+//!
+//! ```
+//! use hemlockhitch_config::settings::Settings;
+//!
+//! let text = "
+//! [node]
+//! name = em-a-1
+//! data_centre = em-a
+//! region = east-mids
+//! [listen]
+//! callers = 127.0.0.1:8080
+//! operators = 127.0.0.1:8081
+//! peers = 127.0.0.1:8082
+//! metrics = 127.0.0.1:8083
+//! [platform]
+//! key_value = 127.0.0.1:2379
+//! ";
+//! let settings = Settings::parse(text, "node.ini")?;
+//! assert_eq!(settings.node.name.as_str(), "em-a-1");
+//! assert_eq!(settings.control.lease_ms, 10_000);
+//! # Ok::<(), hemlockhitch_config::settings::SettingsError>(())
+//! ```
+
+mod builder;
+mod fault;
+mod number;
+mod reader;
+mod sections;
+mod source;
+mod types;
+
+pub use builder::SettingsBuilder;
+pub use fault::{Fault, FaultKind, SettingsError};
+pub use types::{
+    AdvertiseSettings, ControlSettings, LimitSettings, ListenSettings, LogFormat, LogSettings,
+    NodeSettings, OperatorToken, Permission, PlatformSettings, Settings,
+};
+
+use std::fs;
+use std::path::Path;
+
+use reader::Reader;
+use source::Source;
+
+impl Settings {
+    /// Reads the settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Lists every fault of the file.
+    pub fn read(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
+        let path = path.as_ref();
+        let file_name = path.display().to_string();
+        let text = fs::read_to_string(path)
+            .map_err(|error| SettingsError::unreadable(&file_name, &error))?;
+        Self::parse(&text, &file_name)
+    }
+
+    /// Parses the text of a settings file; `file_name` is named in faults.
+    ///
+    /// # Errors
+    ///
+    /// Lists every fault of the text.
+    pub fn parse(text: &str, file_name: &str) -> Result<Self, SettingsError> {
+        let (source, faults) = Source::parse(text);
+        let mut reader = Reader::new(source, faults);
+        let settings = sections::read(&mut reader);
+        let faults = reader.finish();
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(SettingsError::new(file_name, faults)),
+        }
+    }
+
+    /// Starts settings for a test or demonstration; every address is
+    /// `127.0.0.1:0` until it is set.
+    #[must_use]
+    pub fn builder() -> SettingsBuilder {
+        SettingsBuilder::new()
+    }
+}
--- /dev/null
+++ b/crates/hemlockhitch_config/tests/settings.rs
@@ -0,0 +1,153 @@
+//! Settings: defaults, and every fault with its line, key and remedy.
+
+use hemlockhitch_config::settings::{Permission, Settings};
+use insta::assert_snapshot;
+
+const EXAMPLE: &str = include_str!("../../../examples/node.ini");
+
+fn faults(text: &str) -> String {
+    match Settings::parse(text, "node.ini") {
+        Ok(_) => "no fault".to_owned(),
+        Err(error) => error.to_string(),
+    }
+}
+
+/// Replaces one line of the example.
+fn with(line: &str, replacement: &str) -> String {
+    assert!(EXAMPLE.contains(line), "the example has no line {line:?}");
+    EXAMPLE.replacen(line, replacement, 1)
+}
+
+#[test]
+fn example_is_accepted() {
+    let settings = Settings::parse(EXAMPLE, "node.ini").expect("the example has no fault");
+    assert_eq!(settings.operators.len(), 2);
+    assert_eq!(settings.operators[0].permission, Permission::Operate);
+    assert_eq!(settings.limits.header_bytes, 16_384);
+    assert!(settings.operators[1].permission.allows(Permission::Read));
+    assert!(!settings.operators[1].permission.allows(Permission::Operate));
+}
+
+#[test]
+fn each_fault_names_line_key_and_remedy() {
+    let cases = [
+        (
+            "unknown key",
+            with("queue_ms = 2000", "queue = 2000\nspeed = 3"),
+        ),
+        ("unknown section", with("[log]", "[logs]")),
+        ("unit in value", with("queue_ms = 2000", "queue_ms = 2s")),
+        ("unit in key", with("queue_ms = 2000", "queue_s = 2")),
+        ("no number", with("queue_ms = 2000", "queue_ms = soon")),
+        ("out of bounds", with("in_flight = 1000", "in_flight = 0")),
+        ("missing address", with("callers = 127.0.0.1:8080", "")),
+        (
+            "name for address",
+            with("callers = 127.0.0.1:8080", "callers = localhost:8080"),
+        ),
+        (
+            "port 0 of platform",
+            with("key_value = 127.0.0.1:7001", "key_value = 127.0.0.1:0"),
+        ),
+        (
+            "duplicate key",
+            with("format = text", "format = text\nformat = json"),
+        ),
+        (
+            "duplicate in second section",
+            format!("{EXAMPLE}\n[node]\nname = other\n"),
+        ),
+        ("no ini", with("format = text", "format text")),
+        ("empty name", with("name = em-a-1", "name =")),
+        (
+            "short hash",
+            with("[operators]", "[operators]\ntoken.anna = 12ab operate"),
+        ),
+        (
+            "lease too short",
+            with("lease_ms = 10000", "lease_ms = 3000"),
+        ),
+        ("bad level", with("level = info", "level = loud")),
+        ("entry before any section", format!("x = 1\n{EXAMPLE}")),
+        ("nothing", String::new()),
+    ];
+    let table: Vec<String> = cases
+        .iter()
+        .map(|(name, text)| format!("# {name}\n{}", faults(text)))
+        .collect();
+    assert_snapshot!(table.join("\n"), @r#"
+    # unknown key
+    node.ini:27: limits.queue: has another unit than the setting; use queue_ms and convert the value
+    node.ini:28: limits.speed: is not a known key; use one of body_bytes, header_bytes, queue_ms, answer_ms, chunk_ms, drain_ms, in_flight
+    # unknown section
+    node.ini:38: logs: is not a known section; use one of node, listen, advertise, platform, operators, limits, control, log
+    # unit in value
+    node.ini:27: limits.queue_ms: "2s" is not a whole number; write digits alone; the unit is milliseconds
+    # unit in key
+    node.ini:27: limits.queue_s: has another unit than the setting; use queue_ms and convert the value
+    # no number
+    node.ini:27: limits.queue_ms: "soon" is not a whole number; write digits alone; the unit is milliseconds
+    # out of bounds
+    node.ini:31: limits.in_flight: 0 is out of bounds; use 1 to 100000
+    # missing address
+    node.ini:8: listen.callers: is missing; add an ip:port address under [listen]
+    # name for address
+    node.ini:9: listen.callers: "localhost:8080" is not an address; write an IP number and a port, such as 10.0.0.5:8080
+    # port 0 of platform
+    node.ini:15: platform.key_value: port 0 cannot be reached; give the port that the service listens on
+    # duplicate key
+    node.ini:40: log.format: stands twice; keep one of them
+    # duplicate in second section
+    node.ini:43: node.name: stands twice; keep one of them
+    # no ini
+    node.ini:39: line: "format text" is neither a section nor a key; write [section] or key = value
+    # empty name
+    node.ini:4: node.name: "" is not a name; use letters, digits, '-', '_' and '.'
+    # short hash
+    node.ini:22: operators.token.anna: is not an operator's token; write token.NAME = SHA-256 of the token in 64 hexadecimal digits, then read or operate, then an organisation if it is limited to one
+    # lease too short
+    node.ini:34: control.lease_ms: is not longer than self_stop_ms; use more than 4000, or shorten self_stop_ms
+    # bad level
+    node.ini:40: log.level: "loud" is not a choice; use off, error, warn, info, debug, trace
+    # entry before any section
+    node.ini:1: x: is not a known key; move it below a section
+    # nothing
+    node.ini: node.name: is missing; add a name under [node]
+    node.ini: node.data_centre: is missing; add a name under [node]
+    node.ini: node.region: is missing; add a name under [node]
+    node.ini: listen.callers: is missing; add an ip:port address under [listen]
+    node.ini: listen.operators: is missing; add an ip:port address under [listen]
+    node.ini: listen.peers: is missing; add an ip:port address under [listen]
+    node.ini: listen.metrics: is missing; add an ip:port address under [listen]
+    node.ini: platform.key_value: is missing; add an ip:port address under [platform]
+    "#);
+}
+
+#[test]
+fn all_faults_are_reported_together() {
+    let text = with("in_flight = 1000", "in_flight = 0\nnonsense\nqueue_ms = x")
+        .replace("region = east-mids", "");
+    let error = Settings::parse(&text, "node.ini").expect_err("four faults");
+    assert_eq!(error.faults.len(), 4, "{error}");
+}
+
+#[test]
+fn builder_checks_bounds() {
+    let mut control = Settings::builder().build().expect("defaults").control;
+    control.shards = 0;
+    let error = Settings::builder()
+        .control(control)
+        .build()
+        .expect_err("no shard");
+    assert_snapshot!(error, @"settings: control.shards: 0 is out of bounds; use 1 to 64");
+}
+
+#[test]
+fn unreadable_file_is_named() {
+    let error = Settings::read("no-such-file.ini").expect_err("no file");
+    assert!(
+        error
+            .to_string()
+            .starts_with("no-such-file.ini: file: cannot be read")
+    );
+}
