Add HTTP clients and stand-ins for the platform's services

The key-value service, VM list, rating service and weight store get a client each behind their traits, and a stand-in that runs inside a test or as an example process with switches for its faults.

A write whose answer is lost or late fails as of unknown effect; only a refused connection, or a refusal in the service's own words, proves that it had none. Clients and the key-value stand-in count reads, writes and watches.

--- a/crates/hemlockhitch_platform/src/key_value/mod.rs
+++ b/crates/hemlockhitch_platform/src/key_value/mod.rs
@@ -1,10 +1,13 @@
 //! The platform's key-value service: compare-and-swap, leases and watches.
 
 mod error;
+mod http;
 mod memory;
+pub mod message;
 mod types;
 
 pub use error::{KeyValueError, KeyValueErrorKind};
+pub use http::HttpKeyValue;
 pub use memory::MemoryKeyValue;
 pub use types::{Entry, Expected, LeaseId, Listing, Swap, SwapOutcome, WatchBatch};
 
@@ -33,6 +36,9 @@
 
     /// Waits up to `wait_ms` for entries under `prefix` that changed after
     /// `revision`.
+    ///
+    /// When the service no longer knows what changed since `revision`, it
+    /// answers at once with a batch that is marked `complete`.
     fn watch(
         &self,
         prefix: &str,
--- a/crates/hemlockhitch_platform/src/key_value/types.rs
+++ b/crates/hemlockhitch_platform/src/key_value/types.rs
@@ -118,6 +118,9 @@
     pub written: Vec<Entry>,
     /// Keys deleted or lapsed.
     pub deleted: Vec<String>,
+    /// Whether `written` holds every entry under the prefix, because the
+    /// service no longer knows each change; any other key under it is gone.
+    pub complete: bool,
     /// The revision to watch from next.
     pub revision: u64,
 }
--- a/crates/hemlockhitch_platform/src/rating/mod.rs
+++ b/crates/hemlockhitch_platform/src/rating/mod.rs
@@ -1,5 +1,9 @@
 //! The platform's rating service.
 
+mod http;
+
+pub use http::{HttpRating, RATE_PATH};
+
 use std::future::Future;
 
 use hemlockhitch_model::{Class, RequestId, VersionName};
--- a/crates/hemlockhitch_platform/src/vm_list/mod.rs
+++ b/crates/hemlockhitch_platform/src/vm_list/mod.rs
@@ -1,5 +1,9 @@
 //! The platform's lagging list of virtual machines.
 
+mod http;
+
+pub use http::{HttpVmList, VMS_PATH};
+
 use std::future::Future;
 
 use hemlockhitch_model::{DataCentreName, NodeName};
--- a/crates/hemlockhitch_platform/src/weights/mod.rs
+++ b/crates/hemlockhitch_platform/src/weights/mod.rs
@@ -1,5 +1,11 @@
 //! The platform's rate-limited store of model weights.
 
+mod http;
+mod message;
+
+pub use http::HttpWeights;
+pub use message::{RESERVE_PATH, ReserveRefusal, ReserveRequest, Reserved};
+
 use std::future::Future;
 
 use hemlockhitch_model::VersionName;
--- /dev/null
+++ b/crates/hemlockhitch_standin/src/command_line.rs
@@ -0,0 +1,137 @@
+//! The command line of the stand-ins that run as examples.
+
+use std::fmt::Display;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::str::FromStr;
+
+use getopts::{Matches, Options};
+use thiserror::Error;
+
+/// The address that a stand-in listens on unless told otherwise.
+const DEFAULT_ADDRESS: &str = "127.0.0.1:0";
+
+/// A stand-in cannot run as its command line asks.
+#[derive(Debug, Error)]
+pub enum CommandLineError {
+    /// The options are not understood.
+    #[error("{0}; see --help")]
+    Options(#[from] getopts::Fail),
+    /// The value of an option cannot be read.
+    #[error("option --{option} has the value {value:?}: {detail}; see --help")]
+    Value {
+        /// The option.
+        option: String,
+        /// Its value.
+        value: String,
+        /// Why the value cannot be read.
+        detail: String,
+    },
+    /// The stand-in cannot listen, or cannot write to standard output.
+    #[error("{0}; choose another --address or use port 0")]
+    Io(#[from] io::Error),
+}
+
+/// Creates the options that every stand-in has.
+#[must_use]
+pub fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "address", "address to listen on", "IP:PORT");
+    options.optflag("h", "help", "print this help");
+    options
+}
+
+/// Reads the options, or prints the help and returns `None`.
+///
+/// # Errors
+///
+/// Fails when an option is unknown or lacks its value.
+pub fn parse(
+    options: &Options,
+    arguments: impl IntoIterator<Item = String>,
+) -> Result<Option<Matches>, CommandLineError> {
+    let mut arguments = arguments.into_iter();
+    let program = arguments.next().unwrap_or_default();
+    let arguments: Vec<String> = arguments.collect();
+    let matches = options.parse(&arguments)?;
+    if !matches.opt_present("help") {
+        return Ok(Some(matches));
+    }
+    println!("{}", options.usage(&format!("{program} [options]")));
+    Ok(None)
+}
+
+/// Returns the address to listen on.
+///
+/// # Errors
+///
+/// Fails when the option is not `ip:port`.
+pub fn address(matches: &Matches) -> Result<SocketAddr, CommandLineError> {
+    let text = matches.opt_str("address");
+    let text = text.unwrap_or_else(|| DEFAULT_ADDRESS.to_owned());
+    read_value("address", &text)
+}
+
+/// Returns the value of an option, or the type's default.
+///
+/// # Errors
+///
+/// Fails when the value cannot be read.
+pub fn value_or_default<T>(matches: &Matches, option: &str) -> Result<T, CommandLineError>
+where
+    T: FromStr<Err: Display> + Default,
+{
+    let text = matches.opt_str(option);
+    text.map_or_else(|| Ok(T::default()), |text| read_value(option, &text))
+}
+
+/// Returns every value of an option that may be given repeatedly.
+///
+/// # Errors
+///
+/// Fails when a value cannot be read.
+pub fn values<T>(matches: &Matches, option: &str) -> Result<Vec<T>, CommandLineError>
+where
+    T: FromStr<Err: Display>,
+{
+    matches
+        .opt_strs(option)
+        .iter()
+        .map(|text| read_value(option, text))
+        .collect()
+}
+
+/// Prints the address on standard output and waits for ever.
+///
+/// # Errors
+///
+/// Fails when standard output is closed.
+pub async fn serve(address: SocketAddr) -> Result<(), CommandLineError> {
+    let mut output = io::stdout();
+    writeln!(output, "listening on {address}")?;
+    output.flush()?;
+    std::future::pending().await
+}
+
+/// Turns the result of a stand-in's main function into an exit code.
+#[must_use]
+pub fn exit_code(result: Result<(), CommandLineError>) -> ExitCode {
+    let Err(error) = result else {
+        return ExitCode::SUCCESS;
+    };
+    eprintln!("error: {error}");
+    ExitCode::FAILURE
+}
+
+fn read_value<T>(option: &str, text: &str) -> Result<T, CommandLineError>
+where
+    T: FromStr<Err: Display>,
+{
+    text.parse()
+        .map_err(|error: T::Err| CommandLineError::Value {
+            option: option.to_owned(),
+            value: text.to_owned(),
+            detail: error.to_string(),
+        })
+}
--- /dev/null
+++ b/crates/hemlockhitch_standin/src/key_value/service.rs
@@ -0,0 +1,203 @@
+//! The requests of the key-value service.
+
+use std::future::Future;
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hemlockhitch_platform::key_value::message::{
+    Done, GET_PATH, GetRequest, LEASE_GRANT_PATH, LEASE_RENEW_PATH, LEASE_REVOKE_PATH, LIST_PATH,
+    LeaseGrantRequest, LeaseRequest, ListRequest, Refusal, RefusalCode, SWAP_PATH, WATCH_PATH,
+    WatchRequest,
+};
+use hemlockhitch_platform::key_value::{
+    KeyValue, KeyValueError, KeyValueErrorKind, MemoryKeyValue, Swap,
+};
+use hemlockhitch_platform::{CallKind, StoreCallCounts, StoreCalls};
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::sleep;
+
+use super::{CALLS_PATH, FAULTS_PATH, FaultSwitch, Faults};
+use crate::server::{Handled, json_answer, read_body};
+
+/// The state of a running service; clones share it.
+#[derive(Clone, Debug)]
+pub(super) struct Service {
+    store: MemoryKeyValue,
+    faults: FaultSwitch,
+    calls: StoreCalls,
+}
+
+impl Service {
+    pub(super) fn new(store: MemoryKeyValue) -> Self {
+        Self {
+            store,
+            faults: FaultSwitch::new(Faults::default()),
+            calls: StoreCalls::default(),
+        }
+    }
+
+    pub(super) fn store(&self) -> MemoryKeyValue {
+        self.store.clone()
+    }
+
+    pub(super) fn faults(&self) -> FaultSwitch {
+        self.faults.clone()
+    }
+
+    pub(super) fn calls(&self) -> StoreCallCounts {
+        self.calls.counts()
+    }
+
+    /// Answers one request. A write goes on when its caller has hung up.
+    pub(super) async fn handle(self, request: Request<Incoming>) -> Handled {
+        let path = request.uri().path().to_owned();
+        match path.as_str() {
+            CALLS_PATH => json_answer(StatusCode::OK, &self.calls()),
+            FAULTS_PATH => self.set_faults(&read_body(request).await?),
+            GET_PATH | LIST_PATH => {
+                self.begin(CallKind::Read).await?;
+                self.read(&path, &read_body(request).await?).await
+            }
+            WATCH_PATH => {
+                self.begin(CallKind::Watch).await?;
+                self.watch(&read_body(request).await?).await
+            }
+            _ => {
+                let body = read_body(request).await?;
+                let write = async move { self.write(&path, &body).await };
+                tokio::spawn(write).await.map_err(io::Error::other)?
+            }
+        }
+    }
+
+    /// Counts a call and applies the faults that come before its effect.
+    async fn begin(&self, kind: CallKind) -> io::Result<()> {
+        self.calls.count(kind);
+        let faults = self.faults.get();
+        if faults.down {
+            return Err(broken());
+        }
+        sleep(Duration::from_millis(faults.delay_ms)).await;
+        Ok(())
+    }
+
+    fn set_faults(&self, body: &Bytes) -> Handled {
+        let Ok(faults) = serde_json::from_slice::<Faults>(body) else {
+            return malformed("post the faults as a JSON object");
+        };
+        self.faults.set(faults);
+        json_answer(StatusCode::OK, &Done {})
+    }
+
+    async fn read(&self, path: &str, body: &Bytes) -> Handled {
+        if path == GET_PATH {
+            return answer(body, async |get: GetRequest| self.store.get(&get.key).await).await;
+        }
+        answer(body, async |list: ListRequest| {
+            let after = list.after.as_deref();
+            self.store.list(&list.prefix, after, list.limit).await
+        })
+        .await
+    }
+
+    async fn watch(&self, body: &Bytes) -> Handled {
+        let answered = answer(body, async |watch: WatchRequest| {
+            self.store
+                .watch(&watch.prefix, watch.revision, watch.wait_ms)
+                .await
+        });
+        tokio::select! {
+            answered = answered => answered,
+            () = self.faults.wait_down() => Err(broken()),
+        }
+    }
+
+    async fn write(&self, path: &str, body: &Bytes) -> Handled {
+        self.begin(CallKind::Write).await?;
+        let answered = self.carry_out(path, body).await;
+        if self.faults.loses_answer(written_key(path, body).as_deref()) {
+            return Err(broken());
+        }
+        answered
+    }
+
+    async fn carry_out(&self, path: &str, body: &Bytes) -> Handled {
+        match path {
+            SWAP_PATH => answer(body, async |swap: Swap| self.store.swap(swap).await).await,
+            LEASE_GRANT_PATH => {
+                answer(body, async |grant: LeaseGrantRequest| {
+                    self.store.lease_grant(grant.ttl_ms).await
+                })
+                .await
+            }
+            LEASE_RENEW_PATH => {
+                answer(body, async |renew: LeaseRequest| {
+                    self.store.lease_renew(renew.lease).await?;
+                    Ok(Done {})
+                })
+                .await
+            }
+            LEASE_REVOKE_PATH => {
+                answer(body, async |revoke: LeaseRequest| {
+                    self.store.lease_revoke(revoke.lease).await?;
+                    Ok(Done {})
+                })
+                .await
+            }
+            _ => malformed("no such path; see the messages of the key-value service"),
+        }
+    }
+}
+
+/// Reads a request, carries it out and writes the answer.
+async fn answer<Q, T, F>(body: &Bytes, action: impl FnOnce(Q) -> F) -> Handled
+where
+    Q: DeserializeOwned,
+    T: Serialize,
+    F: Future<Output = Result<T, KeyValueError>>,
+{
+    let request = match serde_json::from_slice(body) {
+        Ok(request) => request,
+        Err(error) => return malformed(&error.to_string()),
+    };
+    match action(request).await {
+        Ok(result) => json_answer(StatusCode::OK, &result),
+        Err(error) => refuse(&error),
+    }
+}
+
+fn refuse(error: &KeyValueError) -> Handled {
+    let (status, code) = match error.kind() {
+        KeyValueErrorKind::LeaseLapsed => (StatusCode::GONE, RefusalCode::LeaseLapsed),
+        KeyValueErrorKind::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, RefusalCode::TooLarge),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, RefusalCode::Unavailable),
+    };
+    let detail = error.to_string();
+    json_answer(status, &Refusal { code, detail })
+}
+
+fn malformed(detail: &str) -> Handled {
+    let refusal = Refusal {
+        code: RefusalCode::Malformed,
+        detail: detail.to_owned(),
+    };
+    json_answer(StatusCode::BAD_REQUEST, &refusal)
+}
+
+/// Returns the key that a write names.
+fn written_key(path: &str, body: &Bytes) -> Option<String> {
+    if path != SWAP_PATH {
+        return None;
+    }
+    let swap: Swap = serde_json::from_slice(body).ok()?;
+    Some(swap.key)
+}
+
+/// The error that makes the server break the connection.
+fn broken() -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionAborted, "fault: no answer")
+}
--- a/crates/hemlockhitch_standin/src/vm_list/mod.rs
+++ b/crates/hemlockhitch_standin/src/vm_list/mod.rs
@@ -1,1 +1,141 @@
 //! The VM list.
+//!
+//! ```no_run
+//! use hemlockhitch_standin::vm_list::{self, VmListSettings};
+//!
+//! async fn lag_by_a_second() -> std::io::Result<()> {
+//!     let list = vm_list::start(([127, 0, 0, 1], 0).into()).await?;
+//!     list.set_vms(Vec::new());
+//!     list.set(VmListSettings { lag_ms: 1_000, ..VmListSettings::default() });
+//!     Ok(())
+//! }
+//! ```
+
+mod editions;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hemlockhitch_platform::vm_list::{VMS_PATH, Vm};
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep};
+
+use crate::server::{Handled, Server, json_answer, read_body};
+use editions::Editions;
+
+/// The path that [`VmListSettings`] are posted to.
+pub const SETTINGS_PATH: &str = "/settings";
+
+/// How the list behaves; the default is at once and without faults.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", default, deny_unknown_fields)]
+pub struct VmListSettings {
+    /// How long the list lags behind its editions, in milliseconds.
+    pub lag_ms: u64,
+    /// How long each answer takes, in milliseconds.
+    pub delay_ms: u64,
+    /// Whether every connection breaks at its next request.
+    pub down: bool,
+}
+
+/// A running VM list; dropping it closes every connection.
+#[derive(Debug)]
+pub struct VmListStandin {
+    server: Server,
+    service: Service,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Service {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    settings: VmListSettings,
+    editions: Editions,
+}
+
+/// Starts an empty list on `address`; port 0 takes a free port.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub async fn start(address: SocketAddr) -> io::Result<VmListStandin> {
+    let service = Service::default();
+    let handler = service.clone();
+    let server = Server::start(address, move |request| handler.clone().handle(request)).await?;
+    Ok(VmListStandin { server, service })
+}
+
+impl VmListStandin {
+    /// Returns the address that the list is served on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Replaces the settings.
+    pub fn set(&self, settings: VmListSettings) {
+        self.service.state().settings = settings;
+    }
+
+    /// Replaces the list; callers see it once the lag has passed.
+    pub fn set_vms(&self, vms: Vec<Vm>) {
+        self.service.state().editions.push(vms, Instant::now());
+    }
+
+    /// Returns the latest list, without the lag.
+    #[must_use]
+    pub fn vms(&self) -> Vec<Vm> {
+        self.service.state().editions.latest()
+    }
+}
+
+impl Service {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn handle(self, request: Request<Incoming>) -> Handled {
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, VMS_PATH) => self.list().await,
+            (_, VMS_PATH) => self.edit(&read_body(request).await?),
+            (_, SETTINGS_PATH) => self.change_settings(&read_body(request).await?),
+            _ => json_answer(StatusCode::NOT_FOUND, &"use /vms or /settings"),
+        }
+    }
+
+    async fn list(&self) -> Handled {
+        let settings = self.state().settings;
+        if settings.down {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        sleep(Duration::from_millis(settings.delay_ms)).await;
+        let lag = Duration::from_millis(settings.lag_ms);
+        let vms = self.state().editions.as_of(Instant::now(), lag);
+        json_answer(StatusCode::OK, &vms)
+    }
+
+    fn edit(&self, body: &Bytes) -> Handled {
+        match serde_json::from_slice(body) {
+            Ok(vms) => self.state().editions.push(vms, Instant::now()),
+            Err(error) => return json_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+        json_answer(StatusCode::OK, &())
+    }
+
+    fn change_settings(&self, body: &Bytes) -> Handled {
+        match serde_json::from_slice(body) {
+            Ok(settings) => self.state().settings = settings,
+            Err(error) => return json_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+        json_answer(StatusCode::OK, &())
+    }
+}
