--- a/crates/hemlockhitch_ledger/src/lib.rs
+++ b/crates/hemlockhitch_ledger/src/lib.rs
@@ -5,9 +5,18 @@
 pub mod claim;
 pub mod deferred;
 mod error;
+mod log;
+mod record;
+mod routed;
+mod settings;
 pub mod shard;
+mod state;
+mod writer;
 
 pub use error::{LedgerError, LedgerErrorKind};
+pub use routed::{RoutedLedger, RoutedSettings};
+pub use settings::LedgerSettings;
+pub use writer::LedgerWriter;
 
 use std::future::Future;
 
@@ -20,8 +29,9 @@
 pub trait Ledger: Clone + Send + Sync + 'static {
     /// Claims a non-idempotent request before it is dispatched.
     ///
-    /// An error means that the claim may or may not be recorded; the caller has
-    /// not dispatched and may answer "not run".
+    /// An attempt is claimed by one call at a time. An error means that the
+    /// claim may or may not be recorded: the caller has not dispatched, may
+    /// answer "not run", and draws a new attempt for another try.
     fn claim(
         &self,
         claim: Claim,
--- /dev/null
+++ b/crates/hemlockhitch_ledger/tests/common/mod.rs
@@ -0,0 +1,107 @@
+//! A faulting key-value service and small helpers for the ledger's tests.
+
+#![allow(dead_code)]
+
+mod faulty;
+
+pub use faulty::{Fault, FaultyKeyValue};
+
+use hemlockhitch_ledger::bill::Bill;
+use hemlockhitch_ledger::call::{LedgerCall, LedgerReply};
+use hemlockhitch_ledger::claim::{Claim, ClaimAnswer, ClaimKey, Outcome};
+use hemlockhitch_ledger::shard::SoleOwner;
+use hemlockhitch_ledger::{LedgerSettings, LedgerWriter};
+use hemlockhitch_model::{Class, Clock, ManualClock, Now, RequestId};
+use hemlockhitch_platform::key_value::KeyValue;
+
+/// A writer that believes to own every shard.
+pub type Writer<K> = LedgerWriter<K, ManualClock, SoleOwner>;
+
+pub fn writer<K: KeyValue>(kv: &K, clock: &ManualClock, node: &str) -> Writer<K> {
+    let settings = LedgerSettings::new(node).shard_count(1);
+    LedgerWriter::new(kv.clone(), SoleOwner, clock.clone(), settings)
+}
+
+pub fn now() -> Now {
+    ManualClock::new().now()
+}
+
+pub fn attempt(number: u128) -> RequestId {
+    RequestId::from_u128(number)
+}
+
+pub fn key(name: &str) -> ClaimKey {
+    ClaimKey {
+        organisation: "org".into(),
+        idempotency_key: name.to_owned(),
+    }
+}
+
+pub fn claim(name: &str, number: u128) -> Claim {
+    Claim {
+        key: key(name),
+        attempt: attempt(number),
+        call_digest: "digest".to_owned(),
+    }
+}
+
+pub fn claim_call(name: &str, number: u128) -> LedgerCall {
+    LedgerCall::Claim(claim(name, number))
+}
+
+pub fn settle_call(name: &str, number: u128, outcome: Outcome) -> LedgerCall {
+    LedgerCall::Settle {
+        key: key(name),
+        attempt: attempt(number),
+        outcome,
+    }
+}
+
+pub fn done(body: &str) -> Outcome {
+    Outcome::Done {
+        status: 200,
+        content_type: None,
+        body: body.to_owned(),
+    }
+}
+
+pub fn bill(number: u128) -> Bill {
+    Bill {
+        request_id: attempt(number),
+        organisation: "org".into(),
+        class: Class::Chat,
+        ran_on: "m@1".to_owned(),
+        endpoint: "e-1".into(),
+        prompt_tokens: 10,
+        completion_tokens: 20,
+        cost_micros: 30,
+        at_unix_ms: now().unix_ms,
+    }
+}
+
+/// A reply in few words, for snapshots.
+pub fn show(reply: &LedgerReply) -> String {
+    match reply {
+        LedgerReply::Claim(ClaimAnswer::InProgress { attempt, .. }) => {
+            format!("in progress by {}", attempt.as_u128())
+        }
+        LedgerReply::Claim(ClaimAnswer::Ended(outcome)) => {
+            format!("ended {}", outcome_name(outcome))
+        }
+        LedgerReply::Claim(answer) => format!("{answer:?}").to_lowercase(),
+        LedgerReply::Bill(bill) => format!("bill {}", bill.is_some()),
+        LedgerReply::Claimed(state) => match state {
+            Some(state) => format!("claimed by {}", state.attempt.as_u128()),
+            None => "unclaimed".to_owned(),
+        },
+        LedgerReply::Failed { kind, .. } => format!("failed {kind:?}"),
+        reply => format!("{reply:?}").to_lowercase(),
+    }
+}
+
+fn outcome_name(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Done { body, .. } => format!("done {body}"),
+        outcome => format!("{outcome:?}").to_lowercase(),
+    }
+}
