--- a/crates/hemlockhitch_peer/src/feed/mod.rs
+++ b/crates/hemlockhitch_peer/src/feed/mod.rs
@@ -3,13 +3,13 @@
 mod source;
 mod spread;
 
-pub use source::{ConfigurationSource, NumberedChange, SourceError};
+pub use source::{ConfigurationSource, SourceError};
 pub(crate) use spread::{Spread, follow_store};
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use hemlockhitch_config::Configuration;
+use hemlockhitch_config::{Configuration, NumberedChange};
 use tokio::sync::watch;
 
 use crate::error::{PeerError, PeerErrorKind};
--- a/crates/hemlockhitch_peer/src/feed/source.rs
+++ b/crates/hemlockhitch_peer/src/feed/source.rs
@@ -2,20 +2,9 @@
 
 use std::future::Future;
 
-use hemlockhitch_config::{Change, Configuration};
-use serde::{Deserialize, Serialize};
+use hemlockhitch_config::{Configuration, NumberedChange};
 use thiserror::Error;
 
-/// A change and the generation that it leads to.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct NumberedChange {
-    /// The generation after the change.
-    pub generation: u64,
-    /// The change.
-    pub change: Change,
-}
-
 /// The store of the configuration did not answer.
 #[derive(Clone, Debug, Error)]
 #[error("configuration store: {detail}; the configuration in force stays")]
--- a/crates/hemlockhitch_peer/src/feed/spread.rs
+++ b/crates/hemlockhitch_peer/src/feed/spread.rs
@@ -4,13 +4,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use hemlockhitch_config::NumberedChange;
 use hemlockhitch_model::Clock;
 use tokio::time::{sleep, timeout};
 
-use super::{
-    ConfigurationSource, Missing, NumberedChange, decode_changes, decode_configuration,
-    encode_changes,
-};
+use super::{ConfigurationSource, Missing, decode_changes, decode_configuration, encode_changes};
 use crate::error::PeerError;
 use crate::shared::Shared;
 use crate::wire;
--- a/crates/hemlockhitch_peer/src/lib.rs
+++ b/crates/hemlockhitch_peer/src/lib.rs
@@ -27,7 +27,7 @@
 pub mod wire;
 
 pub use error::{PeerError, PeerErrorKind};
-pub use feed::{ConfigurationFeed, ConfigurationSource, NumberedChange};
+pub use feed::{ConfigurationFeed, ConfigurationSource};
 pub use fitness::{Fitness, StopReason};
 pub use member::{Health, InForce, Member, MemberState};
 pub use notice::{Notice, NoticeKind, Notices};
--- a/crates/hemlockhitch_peer/src/peers/mod.rs
+++ b/crates/hemlockhitch_peer/src/peers/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use hemlockhitch_config::NumberedChange;
 use hemlockhitch_model::{Clock, Now};
 use hemlockhitch_platform::key_value::KeyValue;
 use tokio::sync::{mpsc, oneshot};
@@ -16,7 +17,7 @@
 
 use crate::error::{PeerError, PeerErrorKind};
 use crate::exchange::exchange_with;
-use crate::feed::{ConfigurationFeed, NumberedChange, Spread};
+use crate::feed::{ConfigurationFeed, Spread};
 use crate::fitness::Fitness;
 use crate::ledger::PeerTransport;
 use crate::member::{InForce, Member, MemberState};
--- a/crates/hemlockhitch_peer/src/shared.rs
+++ b/crates/hemlockhitch_peer/src/shared.rs
@@ -4,12 +4,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use hemlockhitch_config::Configuration;
+use hemlockhitch_config::{Configuration, NumberedChange};
 use hemlockhitch_model::Now;
 use tokio::task::JoinSet;
 
 use crate::client::PeerClients;
-use crate::feed::{ConfigurationFeed, NumberedChange};
+use crate::feed::ConfigurationFeed;
 use crate::fitness::{Contact, Fitness, StopReason};
 use crate::member::{MemberState, MemberTable, NodeId};
 use crate::notice::Notices;
--- a/crates/hemlockhitch_peer/tests/support/mod.rs
+++ b/crates/hemlockhitch_peer/tests/support/mod.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use hemlockhitch_config::configuration::{Row, Version};
-use hemlockhitch_config::{Change, Configuration, RowEdit};
+use hemlockhitch_config::{Change, Configuration, NumberedChange, RowEdit};
 use hemlockhitch_ledger::call::{LedgerCall, LedgerReply, LedgerService};
 use hemlockhitch_model::{ChangeId, Clock, Now, SystemClock};
-use hemlockhitch_peer::feed::{ConfigurationSource, NumberedChange, SourceError};
+use hemlockhitch_peer::feed::{ConfigurationSource, SourceError};
 use hemlockhitch_peer::{Fitness, PeerSettings, Peers};
 use hemlockhitch_platform::key_value::{
     Entry, KeyValue, KeyValueError, KeyValueErrorKind, LeaseId, Listing, MemoryKeyValue, Swap,
