--- a/crates/hemlockhitch_peer/src/exchange/message.rs
+++ b/crates/hemlockhitch_peer/src/exchange/message.rs
@@ -118,9 +118,7 @@
     now: Now,
 ) -> Vec<NodeId> {
     let mut members = shared.members();
-    let sender_id = NodeId::of(&sender.name);
-    members.describe(sender);
-    members.merge(sender_id, status, now);
+    members.describe(sender, Some(status), now);
     news.into_iter()
         .filter(|(id, status)| !members.merge(*id, *status, now))
         .map(|(id, _)| id)
--- a/crates/hemlockhitch_peer/src/exchange/mod.rs
+++ b/crates/hemlockhitch_peer/src/exchange/mod.rs
@@ -114,12 +114,8 @@
 /// Takes in a whole member's entry.
 fn take_member(shared: &Shared, member: &wire::Member, now: Now) -> Result<(), PeerError> {
     let identity = Identity::from_wire(member)?;
-    let id = NodeId::of(&identity.name);
-    let mut members = shared.members();
-    members.describe(identity);
-    if let Some(entry) = &member.entry {
-        members.merge(id, Status::from_wire(entry)?, now);
-    }
+    let status = member.entry.as_ref().map(Status::from_wire).transpose()?;
+    shared.members().describe(identity, status, now);
     Ok(())
 }
 
--- a/crates/hemlockhitch_peer/src/gen/hemlockhitch.peer.rs
+++ b/crates/hemlockhitch_peer/src/gen/hemlockhitch.peer.rs
@@ -147,6 +147,9 @@
     pub version: u64,
     #[prost(message, repeated, tag = "3")]
     pub grants: ::prost::alloc::vec::Vec<Grant>,
+    /// For how long slots may be in use that the former owner does not know of.
+    #[prost(uint64, tag = "4")]
+    pub closed_for_ms: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HandOverReply {
--- a/crates/hemlockhitch_peer/src/member/mod.rs
+++ b/crates/hemlockhitch_peer/src/member/mod.rs
@@ -20,6 +20,12 @@
     pub fn of(name: &NodeName) -> Self {
         Self(hash_text(name.as_str()))
     }
+
+    /// Returns the number that stands for the node in messages.
+    #[must_use]
+    pub const fn number(self) -> u64 {
+        self.0
+    }
 }
 
 /// How far a node is in its life; later states come later in the order.
--- a/crates/hemlockhitch_peer/src/member/table.rs
+++ b/crates/hemlockhitch_peer/src/member/table.rs
@@ -133,18 +133,28 @@
                 address: vm.peer_address.clone(),
                 data_centre: vm.data_centre.clone(),
             };
-            let row = self.row_of(identity);
+            let row = self.row_of(&identity);
+            if row.member.status.is_none() {
+                row.member.identity = identity;
+            }
             row.member.listed = true;
             row.member.leaving = vm.leaving;
         }
     }
 
-    /// Takes in a member's name, address and data centre.
-    pub(crate) fn describe(&mut self, identity: Identity) {
-        if NodeId::of(&identity.name) == self.own_id {
-            return;
+    /// Takes in a member's whole entry; an old one does not move the member.
+    pub(crate) fn describe(&mut self, identity: Identity, status: Option<Status>, now: Now) {
+        let id = NodeId::of(&identity.name);
+        let incarnation = status.map_or(0, |status| status.incarnation);
+        if id != self.own_id {
+            let row = self.row_of(&identity);
+            if incarnation >= row.incarnation() {
+                row.member.identity = identity;
+            }
+        }
+        if let Some(status) = status {
+            self.merge(id, status, now);
         }
-        self.row_of(identity);
     }
 
     /// Takes in news of a member; returns whether the member is known.
@@ -322,10 +332,9 @@
             .expect("the table holds this node from its creation")
     }
 
-    fn row_of(&mut self, identity: Identity) -> &mut Row {
+    fn row_of(&mut self, identity: &Identity) -> &mut Row {
         let id = NodeId::of(&identity.name);
-        let own = id == self.own_id;
-        let row = self.rows.entry(id).or_insert_with(|| Row {
+        self.rows.entry(id).or_insert_with(|| Row {
             member: Member {
                 identity: identity.clone(),
                 status: None,
@@ -334,11 +343,7 @@
             },
             health_since_ms: 0,
             news: 0,
-        });
-        if !own {
-            row.member.identity = identity;
-        }
-        row
+        })
     }
 }
 
@@ -367,6 +372,10 @@
 }
 
 impl Row {
+    fn incarnation(&self) -> u64 {
+        self.member.status.map_or(0, |status| status.incarnation)
+    }
+
     fn is_told(&self, to_itself: bool) -> bool {
         self.member
             .status
--- a/crates/hemlockhitch_peer/src/ownership/hand_over.rs
+++ b/crates/hemlockhitch_peer/src/ownership/hand_over.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlockhitch_model::Clock;
+use hemlockhitch_model::{Clock, Now};
 use hemlockhitch_platform::key_value::{KeyValue, Swap, SwapOutcome};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::{Bucket, Space};
+use super::Bucket;
 use crate::shared::Shared;
 use crate::slots::Grant;
 use crate::wire;
@@ -20,6 +20,8 @@
     pub(crate) version: u64,
     /// The slots that the former owner has granted.
     pub(crate) grants: Vec<Grant>,
+    /// For how long slots may be in use that are not among them.
+    pub(crate) closed_for_ms: u64,
     /// Told the version under this node, or `None` when it did not take over.
     pub(crate) answer: oneshot::Sender<Option<u64>>,
 }
@@ -66,11 +68,7 @@
     let Some((id, address)) = heir(shared, bucket) else {
         return false;
     };
-    let request = wire::HandOverRequest {
-        bucket: bucket.code(),
-        version,
-        grants: exported_grants(shared, bucket, clock),
-    };
+    let request = hand_over_request(shared, bucket, version, clock.now());
     match shared.clients.hand_over(&address, request).await {
         Ok(reply) if reply.taken => {
             shared.ownership.learn(bucket, Some(id), reply.version);
@@ -87,13 +85,20 @@
     Some((id, member.identity.address.clone()))
 }
 
-fn exported_grants<C: Clock>(shared: &Shared, bucket: Bucket, clock: &C) -> Vec<wire::Grant> {
-    if bucket.space != Space::Endpoint {
-        return Vec::new();
+fn hand_over_request(
+    shared: &Shared,
+    bucket: Bucket,
+    version: u64,
+    now: Now,
+) -> wire::HandOverRequest {
+    let book = shared.book();
+    let grants = book.export(bucket, now);
+    wire::HandOverRequest {
+        bucket: bucket.code(),
+        version,
+        grants: grants.iter().map(|grant| grant.to_wire(now)).collect(),
+        closed_for_ms: book.closed_for_ms(bucket, now),
     }
-    let now = clock.now();
-    let grants = shared.book().export(bucket, now);
-    grants.iter().map(|grant| grant.to_wire(now)).collect()
 }
 
 /// Deletes the key unless another node has it already; returns whether it is
--- a/crates/hemlockhitch_peer/src/ownership/keeper.rs
+++ b/crates/hemlockhitch_peer/src/ownership/keeper.rs
@@ -122,8 +122,9 @@
         let version = self.replace(&take).await;
         if version.is_some() {
             let now = self.clock.now();
-            self.shared.book().import(take.grants, now);
-            self.shared.book().open(take.bucket);
+            let mut book = self.shared.book();
+            book.import(take.grants, now);
+            book.open_after(take.bucket, take.closed_for_ms, now);
         }
         // The former owner may have given up waiting.
         let _ = take.answer.send(version);
--- a/crates/hemlockhitch_peer/src/peers/server.rs
+++ b/crates/hemlockhitch_peer/src/peers/server.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hemlockhitch_ledger::call::{LedgerCall, LedgerService};
-use hemlockhitch_model::{Clock, EndpointName, Now};
+use hemlockhitch_model::{Clock, Now};
 use prost::Message;
 use tokio::sync::{mpsc, oneshot};
 use tonic::{Request, Response, Status};
@@ -13,7 +13,7 @@
 use crate::feed::{Spread, decode_changes};
 use crate::member::{Identity, NodeId};
 use crate::notice::Notice;
-use crate::ownership::{Bucket, Owner, Take};
+use crate::ownership::{Bucket, Take};
 use crate::shared::Shared;
 use crate::slots::{Grant, GrantAnswer, SlotRequest, holdings, serve_settle};
 use crate::wire;
@@ -46,27 +46,20 @@
         self.shared.traffic.sent(&message);
         Ok(Response::new(message))
     }
+}
 
-    fn grant_own(&self, request: wire::GrantRequest, now: Now) -> wire::GrantReply {
-        let node = NodeId(request.node_id);
-        let slot = SlotRequest {
-            endpoint: request.endpoint.into(),
-            cold_limit: request.cold_limit,
-            warm_limit: request.warm_limit,
-        };
-        let answer = self.shared.book().grant(node, request.grant_id, &slot, now);
-        let mut reply = wire::GrantReply::default();
-        match answer {
-            GrantAnswer::Granted { slots, warm } => {
-                reply.set_answer(wire::GrantAnswer::Granted);
-                reply.slots = slots;
-                reply.warm = warm;
-            }
-            GrantAnswer::Full => reply.set_answer(wire::GrantAnswer::Full),
-            GrantAnswer::Closed => reply.set_answer(wire::GrantAnswer::Closed),
+fn grant_reply(answer: GrantAnswer) -> wire::GrantReply {
+    let mut reply = wire::GrantReply::default();
+    match answer {
+        GrantAnswer::Granted { slots, warm } => {
+            reply.set_answer(wire::GrantAnswer::Granted);
+            reply.slots = slots;
+            reply.warm = warm;
         }
-        reply
+        GrantAnswer::Full => reply.set_answer(wire::GrantAnswer::Full),
+        GrantAnswer::Closed => reply.set_answer(wire::GrantAnswer::Closed),
     }
+    reply
 }
 
 #[tonic::async_trait]
@@ -159,6 +152,7 @@
             bucket,
             version: message.version,
             grants: grants.map(|grant| Grant::from_wire(grant, now)).collect(),
+            closed_for_ms: message.closed_for_ms,
             answer,
         };
         let sent = self.takes.send(take).await;
@@ -174,17 +168,24 @@
 
     async fn grant(&self, request: Request<wire::GrantRequest>) -> Answer<wire::GrantReply> {
         let (message, now) = self.admit(request)?;
-        let endpoint = EndpointName::from(message.endpoint.as_str());
-        let bucket = self.shared.ownership.endpoint_bucket(&endpoint);
-        let reply = match self.shared.ownership.owner(bucket, now) {
-            Owner::Here { .. } => self.grant_own(message, now),
-            Owner::At { .. } | Owner::Nobody => wire::GrantReply {
-                answer: wire::GrantAnswer::NotOwner.into(),
-                owner: self.shared.ownership.known_of(bucket),
-                ..wire::GrantReply::default()
-            },
+        let slot = SlotRequest {
+            endpoint: message.endpoint.into(),
+            cold_limit: message.cold_limit,
+            warm_limit: message.warm_limit,
         };
-        self.reply(reply)
+        let node = NodeId(message.node_id);
+        let granted = self.shared.as_owner(&slot.endpoint, now, |book| {
+            book.grant(node, message.grant_id, &slot, now)
+        });
+        let not_owner = || wire::GrantReply {
+            answer: wire::GrantAnswer::NotOwner.into(),
+            owner: self
+                .shared
+                .ownership
+                .known_of(self.shared.ownership.endpoint_bucket(&slot.endpoint)),
+            ..wire::GrantReply::default()
+        };
+        self.reply(granted.map_or_else(not_owner, grant_reply))
     }
 
     async fn settle(&self, request: Request<wire::SettleRequest>) -> Answer<wire::SettleReply> {
--- a/crates/hemlockhitch_peer/src/shared.rs
+++ b/crates/hemlockhitch_peer/src/shared.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use hemlockhitch_config::{Configuration, NumberedChange};
-use hemlockhitch_model::Now;
+use hemlockhitch_model::{EndpointName, Now};
 use tokio::task::JoinSet;
 
 use crate::client::PeerClients;
@@ -51,6 +51,23 @@
         self.holder.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Runs `act` on the book if this node may act for the endpoint at `now`.
+    ///
+    /// The book stays locked from the check to the end of `act`, so that a
+    /// hand-over, which stops the node first and reads the book second, misses
+    /// no grant.
+    pub(crate) fn as_owner<T>(
+        &self,
+        endpoint: &EndpointName,
+        now: Now,
+        act: impl FnOnce(&mut GrantBook) -> T,
+    ) -> Option<T> {
+        let bucket = self.ownership.endpoint_bucket(endpoint);
+        let mut book = self.book();
+        self.ownership.fencing(bucket, now)?;
+        Some(act(&mut book))
+    }
+
     /// Returns this node's own entry as a message.
     pub(crate) fn own_wire(&self) -> wire::Member {
         let members = self.members();
--- a/crates/hemlockhitch_peer/src/slots/book.rs
+++ b/crates/hemlockhitch_peer/src/slots/book.rs
@@ -150,9 +150,10 @@
             .collect()
     }
 
-    /// Grants nothing in a bucket until the grants of a former owner must have
-    /// ended, or until [`GrantBook::open`].
+    /// Starts a bucket afresh: it grants nothing until the grants of a former
+    /// owner must have ended, or until [`GrantBook::open`].
     pub fn close(&mut self, bucket: Bucket, now: Now) {
+        self.forget(bucket);
         let until_ms = now.mono_ms + self.grant_ttl_ms;
         self.closed_until_ms.insert(bucket, until_ms);
     }
@@ -162,6 +163,19 @@
         self.closed_until_ms.remove(&bucket);
     }
 
+    /// Grants again in a bucket after `closed_for_ms`.
+    pub fn open_after(&mut self, bucket: Bucket, closed_for_ms: u64, now: Now) {
+        let until_ms = now.mono_ms + closed_for_ms.min(self.grant_ttl_ms);
+        self.closed_until_ms.insert(bucket, until_ms);
+    }
+
+    /// Returns for how long a bucket will grant nothing yet, in milliseconds.
+    #[must_use]
+    pub fn closed_for_ms(&self, bucket: Bucket, now: Now) -> u64 {
+        let until_ms = self.closed_until_ms.get(&bucket).copied();
+        until_ms.unwrap_or_default().saturating_sub(now.mono_ms)
+    }
+
     /// Forgets a bucket that another node owns now.
     pub fn forget(&mut self, bucket: Bucket) {
         let count = self.endpoint_buckets;
@@ -185,9 +199,7 @@
     }
 
     fn is_closed(&self, endpoint: &EndpointName, now: Now) -> bool {
-        self.closed_until_ms
-            .get(&self.bucket_of(endpoint))
-            .is_some_and(|until_ms| now.mono_ms < *until_ms)
+        self.closed_for_ms(self.bucket_of(endpoint), now) > 0
     }
 
     fn bucket_of(&self, endpoint: &EndpointName) -> Bucket {
--- a/crates/hemlockhitch_peer/src/slots/limit.rs
+++ b/crates/hemlockhitch_peer/src/slots/limit.rs
@@ -32,14 +32,15 @@
     /// The part of the warm limit that is kept for fixed shares, as a divisor.
     const SHARE_DIVISOR: u32 = 4;
 
+    #[must_use]
     /// Slots that nodes may use among them while the owner is not known.
-    pub(crate) fn shared_slots(&self) -> u32 {
+    pub fn shared_slots(&self) -> u32 {
         let spare = self.warm_limit.saturating_sub(self.cold_limit);
         spare.min(self.warm_limit / Self::SHARE_DIVISOR)
     }
 
     /// The most slots that the owner grants.
-    pub(crate) fn owner_limit(&self) -> u32 {
+    pub fn owner_limit(&self) -> u32 {
         let rest = self.warm_limit.saturating_sub(self.shared_slots());
         rest.max(self.cold_limit)
     }
--- a/crates/hemlockhitch_peer/src/slots/remote.rs
+++ b/crates/hemlockhitch_peer/src/slots/remote.rs
@@ -66,13 +66,16 @@
 
     fn ask_own_book(&self, request: &SlotRequest, grant_id: u64, now: Now) -> Asked {
         let own_id = self.shared.own_id;
-        match self.shared.book().grant(own_id, grant_id, request, now) {
-            GrantAnswer::Granted { warm, .. } => {
+        let answer = self.shared.as_owner(&request.endpoint, now, |book| {
+            book.grant(own_id, grant_id, request, now)
+        });
+        match answer {
+            Some(GrantAnswer::Granted { warm, .. }) => {
                 self.accept(request, grant_id, warm, now);
                 Asked::Granted
             }
-            GrantAnswer::Full => Asked::Full,
-            GrantAnswer::Closed => Asked::Unclear,
+            Some(GrantAnswer::Full) => Asked::Full,
+            Some(GrantAnswer::Closed) | None => Asked::Unclear,
         }
     }
 
--- a/crates/hemlockhitch_peer/src/slots/settle.rs
+++ b/crates/hemlockhitch_peer/src/slots/settle.rs
@@ -7,11 +7,13 @@
 
 use hemlockhitch_model::{Clock, EndpointName, Now};
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use super::codec::release_to_wire;
 use super::remote::EndedSlot;
 use super::{Grant, codec};
+use crate::error::PeerError;
 use crate::member::NodeId;
 use crate::ownership::{Bucket, Owner};
 use crate::shared::Shared;
@@ -108,11 +110,9 @@
             open(&shared, &buckets);
             return;
         }
-        for (id, address) in missing {
-            let request = wire::HoldingsRequest {
-                buckets: codes.clone(),
-            };
-            if let Ok(reply) = shared.clients.holdings(&address, request).await {
+        let mut answers = ask_all(&shared, &codes, missing);
+        while let Some(answer) = answers.join_next().await {
+            if let Ok((id, Ok(reply))) = answer {
                 import(&shared, reply.grants, clock.now());
                 heard.insert(id);
             }
@@ -123,6 +123,23 @@
     }
 }
 
+/// Asks some nodes for their slots, all at once.
+fn ask_all(
+    shared: &Arc<Shared>,
+    buckets: &[u32],
+    nodes: Vec<(NodeId, String)>,
+) -> JoinSet<(NodeId, Result<wire::HoldingsReply, PeerError>)> {
+    let mut answers = JoinSet::new();
+    for (id, address) in nodes {
+        let shared = shared.clone();
+        let request = wire::HoldingsRequest {
+            buckets: buckets.to_vec(),
+        };
+        answers.spawn(async move { (id, shared.clients.holdings(&address, request).await) });
+    }
+    answers
+}
+
 fn unheard(shared: &Shared, heard: &HashSet<NodeId>) -> Vec<(NodeId, String)> {
     let members = shared.members();
     members
@@ -178,20 +195,19 @@
     for release in request.releases {
         let report = codec::report_from_wire(&release);
         let endpoint = EndpointName::from(release.endpoint);
-        match owner_of(shared, &endpoint, now) {
-            Owner::Here { .. } => {
-                shared
-                    .book()
-                    .release(node, release.grant_id, &endpoint, report);
-            }
-            Owner::At { .. } | Owner::Nobody => not_owned.push(endpoint.to_string()),
+        let released = shared.as_owner(&endpoint, now, |book| {
+            book.release(node, release.grant_id, &endpoint, report);
+        });
+        if released.is_none() {
+            not_owned.push(endpoint.to_string());
         }
     }
     for live in request.live {
         let grant = Grant::from_wire(live, now);
-        match owner_of(shared, &grant.endpoint, now) {
-            Owner::Here { .. } => shared.book().import([grant], now),
-            Owner::At { .. } | Owner::Nobody => not_owned.push(grant.endpoint.to_string()),
+        let endpoint = grant.endpoint.clone();
+        let renewed = shared.as_owner(&endpoint, now, |book| book.import([grant], now));
+        if renewed.is_none() {
+            not_owned.push(endpoint.to_string());
         }
     }
     wire::SettleReply { not_owned }
--- /dev/null
+++ b/crates/hemlockhitch_peer/tests/ownership.rs
@@ -0,0 +1,191 @@
+//! Buckets have at most one acting owner, whatever fails.
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hemlockhitch_ledger::shard::{ShardId, ShardOwner};
+use hemlockhitch_model::{Clock, ManualClock, Now};
+use hemlockhitch_peer::{Bucket, Owner, Peers, Space};
+use tokio::time::{Instant, sleep};
+
+use support::frozen::FreezableNode;
+use support::{Platform, settings, until};
+
+fn buckets() -> Vec<Bucket> {
+    let settings = settings();
+    let endpoints = (0..settings.endpoint_buckets).map(|index| Bucket {
+        space: Space::Endpoint,
+        index,
+    });
+    let shards = (0..settings.ledger_shards).map(|index| Bucket::of_shard(ShardId(index)));
+    endpoints.chain(shards).collect()
+}
+
+fn owner_count(fleet: &[&Peers], bucket: Bucket, now: Now) -> usize {
+    let fencing = fleet.iter().map(|p| p.ownership().fencing(bucket, now));
+    fencing.flatten().count()
+}
+
+fn all_owned(fleet: &[&Peers], now: Now) -> bool {
+    buckets()
+        .into_iter()
+        .all(|b| owner_count(fleet, b, now) == 1)
+}
+
+/// Looks at every bucket for `length` and fails when two nodes act for one.
+async fn watch_for(fleet: &[&Peers], clock: &impl Clock, length: Duration) {
+    let end = Instant::now() + length;
+    while Instant::now() < end {
+        assert_one_owner(fleet, clock);
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn assert_one_owner(fleet: &[&Peers], clock: &impl Clock) {
+    for bucket in buckets() {
+        let count = owner_count(fleet, bucket, clock.now());
+        assert!(count <= 1, "{count} nodes act for {bucket}");
+    }
+}
+
+async fn until_owned(fleet: &[&Peers], clock: &impl Clock) {
+    until("every bucket owned", || {
+        assert_one_owner(fleet, clock);
+        all_owned(fleet, clock.now())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn one_owner_through_death_outage_and_join() {
+    let platform = Platform::default();
+    let clock = platform.clock;
+    let mut fleet = platform.fleet(4).await;
+    until_owned(&fleet.iter().collect::<Vec<_>>(), &clock).await;
+
+    let dead = fleet.remove(0);
+    let lost: Vec<Bucket> = dead.ownership().held(clock.now());
+    assert!(!lost.is_empty());
+    drop(dead);
+    until_owned(&fleet.iter().collect::<Vec<_>>(), &clock).await;
+
+    platform.store_down(true);
+    watch_for(
+        &fleet.iter().collect::<Vec<_>>(),
+        &clock,
+        Duration::from_secs(3),
+    )
+    .await;
+    let held: usize = fleet
+        .iter()
+        .map(|p| p.ownership().held(clock.now()).len())
+        .sum();
+    assert_eq!(held, 0, "no lease outlives the outage");
+    platform.store_down(false);
+    until_owned(&fleet.iter().collect::<Vec<_>>(), &clock).await;
+
+    fleet.push(platform.start("n5").await);
+    until("new node owns its part", || {
+        assert_one_owner(&fleet.iter().collect::<Vec<_>>(), &clock);
+        !fleet[3].ownership().held(clock.now()).is_empty()
+    })
+    .await;
+    until_owned(&fleet.iter().collect::<Vec<_>>(), &clock).await;
+}
+
+#[tokio::test]
+async fn paused_holder_does_nothing_once_its_lease_has_lapsed() {
+    let platform = Platform::default();
+    let clock = ManualClock::new();
+    let peers = platform.start_with("n1", "dc-a", clock.clone()).await;
+    until("owner", || {
+        peers.ownership().held(clock.now()).len() == buckets().len()
+    })
+    .await;
+    let bucket = buckets()[0];
+    let before = clock.now();
+    assert!(peers.ownership().fencing(bucket, before).is_some());
+
+    // The node pauses: its clock moves and none of its tasks run.
+    clock.advance(settings().lease_ttl_ms - settings().lease_margin_ms);
+    let after = clock.now();
+    assert_eq!(peers.ownership().fencing(bucket, after), None);
+    assert_eq!(peers.ownership().owner(bucket, after), Owner::Nobody);
+    assert_eq!(
+        peers.ownership().shard_owner(ShardId(0), after),
+        ShardOwner::Nobody
+    );
+}
+
+#[tokio::test]
+async fn frozen_owner_finds_its_lease_lapsed() {
+    let platform = Platform::default();
+    let clock = platform.clock;
+    let frozen = FreezableNode::start(&platform, "frozen");
+    let fleet = platform.fleet_beside(2, 1).await;
+    let mut all: Vec<&Peers> = fleet.iter().collect();
+    all.push(&frozen.peers);
+    until_owned(&all, &clock).await;
+    let held = frozen.peers.ownership().held(clock.now());
+    assert!(!held.is_empty());
+    let fencing = frozen.peers.ownership().fencing(held[0], clock.now());
+
+    let thaw = frozen.freeze();
+    until("others own its buckets", || {
+        assert_one_owner(&all, &clock);
+        all_owned(&fleet.iter().collect::<Vec<_>>(), clock.now())
+    })
+    .await;
+    let later = fleet
+        .iter()
+        .find_map(|p| p.ownership().fencing(held[0], clock.now()));
+    assert!(later > fencing, "the fencing number grows");
+    drop(thaw);
+    watch_for(&all, &clock, Duration::from_millis(500)).await;
+}
+
+#[tokio::test]
+async fn drain_hands_every_bucket_over() {
+    let platform = Platform::default();
+    let clock = platform.clock;
+    let mut fleet = platform.fleet(3).await;
+    until_owned(&fleet.iter().collect::<Vec<_>>(), &clock).await;
+    let leaving = fleet.remove(0);
+    leaving.drain().await.unwrap();
+    let rest: Vec<&Peers> = fleet.iter().collect();
+    assert!(all_owned(&rest, clock.now()), "no lease was waited out");
+}
+
+#[tokio::test]
+async fn lost_answer_to_an_acquisition_is_read_back() {
+    let platform = Platform::default();
+    platform.store.lose_answer.store(true, Ordering::SeqCst);
+    let fleet = platform.fleet(1).await;
+    until_owned(&fleet.iter().collect::<Vec<_>>(), &platform.clock).await;
+    assert!(!platform.store.lose_answer.load(Ordering::SeqCst));
+}
+
+#[tokio::test]
+async fn nodes_agree_on_the_owner_without_asking_the_store() {
+    let platform = Platform::default();
+    let clock = platform.clock;
+    let fleet = platform.fleet(3).await;
+    until_owned(&fleet.iter().collect::<Vec<_>>(), &clock).await;
+    until("agreed", || {
+        buckets().into_iter().all(|bucket| {
+            let mut names =
+                fleet
+                    .iter()
+                    .map(|peers| match peers.ownership().owner(bucket, clock.now()) {
+                        Owner::Here { .. } => Some(peers.address().to_owned()),
+                        Owner::At { address, .. } => Some(address),
+                        Owner::Nobody => None,
+                    });
+            let first = names.next().unwrap();
+            first.is_some() && names.all(|name| name == first)
+        })
+    })
+    .await;
+}
--- a/crates/hemlockhitch_peer/tests/support/mod.rs
+++ b/crates/hemlockhitch_peer/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A fleet of nodes inside one process, with faults that tests switch on.
 #![allow(dead_code)]
 
+pub mod frozen;
+
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -66,7 +68,7 @@
     /// Cuts every node off from the store, or ends the cut.
     pub fn store_down(&self, down: bool) {
         self.store.down.store(down, Ordering::SeqCst);
-        self.source.down.store(down, Ordering::SeqCst);
+        self.source.set_down(down);
     }
 
     /// Starts a node and puts it on the VM list.
@@ -98,6 +100,11 @@
 
     /// Starts nodes `n1`, `n2`, … and waits until each knows all as serving.
     pub async fn fleet(&self, count: usize) -> Vec<Peers> {
+        self.fleet_beside(count, 0).await
+    }
+
+    /// Starts nodes beside `others` that run already.
+    pub async fn fleet_beside(&self, count: usize, others: usize) -> Vec<Peers> {
         let mut fleet = Vec::new();
         for number in 1..=count {
             fleet.push(self.start(&format!("n{number}")).await);
@@ -105,7 +112,7 @@
         until("all serving", || {
             fleet.iter().all(|peers| {
                 let serving = peers.members().iter().filter(|m| m.may_own()).count();
-                serving == count
+                serving == count + others
             })
         })
         .await;
@@ -159,9 +166,22 @@
     changes: Arc<Mutex<Vec<Change>>>,
     pub down: Arc<AtomicBool>,
     pub reads: Arc<AtomicU64>,
+    down_since: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Changes {
+    /// Whether the store has been down for so long that no node counts on it.
+    pub fn is_silent(&self) -> bool {
+        let down_since = self.down_since.lock().unwrap();
+        let bound = Duration::from_millis(2 * settings().self_stop_ms);
+        down_since.is_some_and(|since| since.elapsed() > bound)
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+        *self.down_since.lock().unwrap() = down.then(Instant::now);
+    }
+
     /// Stores one more change and returns it with its generation.
     pub fn accept(&self) -> NumberedChange {
         let mut changes = self.changes.lock().unwrap();
