Prove the guards of ownership and slots

Three guards had no test that failed without them: that an owner stops acting before it hands over, that a new owner asks all nodes for their slots, and that holders renew. Each has one now.

--- a/crates/hemlockhitch_peer/tests/ownership.rs
+++ b/crates/hemlockhitch_peer/tests/ownership.rs
@@ -8,6 +8,7 @@
 use hemlockhitch_ledger::shard::{ShardId, ShardOwner};
 use hemlockhitch_model::{Clock, ManualClock, Now};
 use hemlockhitch_peer::{Bucket, Owner, Peers, Space};
+use hemlockhitch_platform::key_value::KeyValue;
 use tokio::time::{Instant, sleep};
 
 use support::frozen::FreezableNode;
@@ -158,6 +159,30 @@
     assert!(all_owned(&rest, clock.now()), "no lease was waited out");
 }
 
+#[tokio::test]
+async fn owner_stops_acting_before_it_hands_over() {
+    let platform = Platform::default();
+    let clock = platform.clock;
+    let mut fleet = platform.fleet(2).await;
+    until_owned(&fleet.iter().collect::<Vec<_>>(), &clock).await;
+    let leaving = fleet.remove(0);
+    let before = leaving.ownership().held(clock.now());
+    platform.store.hold_writes.store(true, Ordering::SeqCst);
+    let given_up = until("a bucket is given up", || {
+        leaving.ownership().held(clock.now()).len() < before.len()
+    });
+    let stopped = async {
+        given_up.await;
+        let held = leaving.ownership().held(clock.now());
+        let bucket = before.iter().find(|bucket| !held.contains(bucket)).unwrap();
+        let stored = platform.store.inner.get(&bucket.key()).await.unwrap();
+        assert!(stored.is_some_and(|entry| entry.value.contains("n1")));
+        platform.store.hold_writes.store(false, Ordering::SeqCst);
+    };
+    let (_, drained) = tokio::join!(stopped, leaving.drain());
+    drained.unwrap();
+}
+
 #[tokio::test]
 async fn lost_answer_to_an_acquisition_is_read_back() {
     let platform = Platform::default();
--- a/crates/hemlockhitch_peer/tests/slots.rs
+++ b/crates/hemlockhitch_peer/tests/slots.rs
@@ -30,6 +30,8 @@
     limit: u32,
     report: SlotReport,
     steps: u32,
+    /// Whether requests end.
+    ends: bool,
 }
 
 impl<'a> Load<'a> {
@@ -41,6 +43,7 @@
             limit: COLD_LIMIT,
             report: SlotReport::Failed,
             steps: 0,
+            ends: true,
         }
     }
 
@@ -60,7 +63,7 @@
             assert!(in_use <= self.limit, "{in_use} slots in use");
         }
         self.steps += 1;
-        if self.steps.is_multiple_of(4) && !self.held.is_empty() {
+        if self.ends && self.steps.is_multiple_of(4) && !self.held.is_empty() {
             let (_, slot) = self.held.remove(0);
             slot.finish(self.report, self.platform.clock.now());
         }
@@ -112,6 +115,26 @@
     load.until_granted(&fleet).await;
 }
 
+#[tokio::test]
+async fn long_requests_stay_counted_by_every_next_owner() {
+    let platform = Platform::default();
+    let mut fleet = platform.fleet(4).await;
+    let mut load = Load::cold(&platform);
+    load.until_granted(&fleet).await;
+    let owner = fleet.remove(owner_index(&fleet, &platform).unwrap());
+    load.held.clear();
+    load.ends = false;
+    while load.held.len() < COLD_LIMIT as usize {
+        load.until_granted(&fleet).await;
+    }
+    drop(owner);
+    // Past the lease, the suspicion and two time-outs of grants.
+    load.run(&fleet, Duration::from_secs(8)).await;
+    assert!(owner_index(&fleet, &platform).is_some());
+    load.held.pop();
+    load.until_granted(&fleet).await;
+}
+
 #[tokio::test]
 async fn cold_limit_holds_through_drain_and_join() {
     let platform = Platform::default();
--- a/crates/hemlockhitch_peer/tests/support/mod.rs
+++ b/crates/hemlockhitch_peer/tests/support/mod.rs
@@ -262,6 +262,8 @@
     /// The next write takes effect and its answer is lost.
     pub lose_answer: Arc<AtomicBool>,
     pub calls: Arc<AtomicU64>,
+    /// Writes wait for as long as this holds.
+    pub hold_writes: Arc<AtomicBool>,
 }
 
 impl FaultyStore {
@@ -292,6 +294,9 @@
 
     async fn swap(&self, swap: Swap) -> Result<SwapOutcome, KeyValueError> {
         self.check()?;
+        while self.hold_writes.load(Ordering::SeqCst) {
+            sleep(Duration::from_millis(10)).await;
+        }
         let outcome = self.inner.swap(swap).await;
         if self.lose_answer.swap(false, Ordering::SeqCst) {
             return Err(KeyValueError::new(KeyValueErrorKind::Unknown, "lost"));
