--- a/crates/hemlockhitch_endpoint/src/engine/mod.rs
+++ b/crates/hemlockhitch_endpoint/src/engine/mod.rs
@@ -2,10 +2,11 @@
 
 mod error;
 mod types;
+pub mod wire;
 
 pub use error::{EngineError, EngineErrorKind};
 pub use types::{
-    ChatMessage, ChatRequest, Chunk, EngineRequest, LoadReport, Order, OrderAnswer, Usage,
+    ChatMessage, ChatRequest, Chunk, EngineRequest, KvHandle, LoadReport, Order, OrderAnswer, Usage,
 };
 
 use std::future::Future;
--- a/crates/hemlockhitch_endpoint/src/engine/types.rs
+++ b/crates/hemlockhitch_endpoint/src/engine/types.rs
@@ -113,3 +113,11 @@
         highest: u64,
     },
 }
+
+/// Names an exported KV cache; only engines can read it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct KvHandle {
+    /// The engine's own text.
+    pub handle: String,
+}
--- a/crates/hemlockhitch_endpoint/src/service/mod.rs
+++ b/crates/hemlockhitch_endpoint/src/service/mod.rs
@@ -37,6 +37,12 @@
 /// A call failed.
 #[derive(Clone, Debug, Error)]
 pub enum ServiceError {
+    /// The call cannot be written as HTTP: it certainly did not run.
+    #[error("call is not valid: {detail}; correct its method, path or content type")]
+    Invalid {
+        /// What is not valid.
+        detail: String,
+    },
     /// No connection was made: the call certainly did not run.
     #[error("service endpoint {address} cannot be reached: {detail}; try another endpoint")]
     Unreachable {
@@ -55,6 +61,17 @@
     },
 }
 
+impl ServiceError {
+    /// Returns whether the call certainly did not run.
+    #[must_use]
+    pub fn not_run(&self) -> bool {
+        match self {
+            Self::Invalid { .. } | Self::Unreachable { .. } => true,
+            Self::Broken { .. } => false,
+        }
+    }
+}
+
 /// A client of plain services.
 pub trait Service: Clone + Send + Sync + 'static {
     /// Calls the endpoint at `address`, written `ip:port`.
