--- a/crates/hemlockhitch_ledger/src/bill/mod.rs
+++ b/crates/hemlockhitch_ledger/src/bill/mod.rs
@@ -1,5 +1,9 @@
 //! Bills: one for each request that ran.
 
+mod buffer;
+
+pub use buffer::{BillBuffer, BillSlot};
+
 use hemlockhitch_model::{Class, EndpointName, OrganisationName, RequestId};
 use serde::{Deserialize, Serialize};
 
--- a/crates/hemlockhitch_ledger/src/lib.rs
+++ b/crates/hemlockhitch_ledger/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod deferred;
 mod error;
 mod log;
-mod record;
+pub mod record;
 mod routed;
 mod settings;
 pub mod shard;
--- a/crates/hemlockhitch_ledger/tests/common/faulty.rs
+++ b/crates/hemlockhitch_ledger/tests/common/faulty.rs
@@ -26,6 +26,8 @@
     LateEffect,
     /// It is served after a while.
     Slow,
+    /// It takes effect, and its caller never reaches the store again.
+    Cut,
 }
 
 /// The delay of [`Fault::Slow`] and [`Fault::LateEffect`].
@@ -139,6 +141,11 @@
                 });
                 Err(lost())
             }
+            Fault::Cut => {
+                self.down(true);
+                self.store.swap(swap).await?;
+                Err(lost())
+            }
             Fault::Slow => {
                 sleep(DELAY).await;
                 self.store.swap(swap).await
--- a/crates/hemlockhitch_ledger/tests/common/mod.rs
+++ b/crates/hemlockhitch_ledger/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A faulting key-value service and small helpers for the ledger's tests.
 
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod faulty;
 
@@ -9,6 +9,7 @@
 use hemlockhitch_ledger::bill::Bill;
 use hemlockhitch_ledger::call::{LedgerCall, LedgerReply};
 use hemlockhitch_ledger::claim::{Claim, ClaimAnswer, ClaimKey, Outcome};
+use hemlockhitch_ledger::record::{Batch, Record};
 use hemlockhitch_ledger::shard::SoleOwner;
 use hemlockhitch_ledger::{LedgerSettings, LedgerWriter};
 use hemlockhitch_model::{Class, Clock, ManualClock, Now, RequestId};
@@ -79,6 +80,47 @@
     }
 }
 
+/// The records of shard 0, with the position of each.
+pub async fn log_records(kv: &FaultyKeyValue) -> Vec<(u64, Record)> {
+    let listing = kv
+        .store
+        .list("ledger/0000/log/", None, usize::MAX - 1)
+        .await;
+    let mut batches: Vec<Batch> = listing
+        .unwrap()
+        .entries
+        .iter()
+        .map(|entry| serde_json::from_str(&entry.value).unwrap())
+        .collect();
+    batches.sort_by_key(|batch| batch.seq);
+    let records = batches.into_iter().flat_map(|batch| {
+        let seq = batch.seq;
+        batch.records.into_iter().map(move |record| (seq, record))
+    });
+    records.collect()
+}
+
+/// How often the log holds the claim of each attempt and the bill of each request.
+pub async fn log_summary(kv: &FaultyKeyValue) -> String {
+    let mut lines = Vec::new();
+    for (seq, record) in log_records(kv).await {
+        lines.push(match record {
+            Record::Opened { owner, epoch } => format!("{seq} opened by {owner}, epoch {epoch}"),
+            Record::Claimed { claim, .. } => {
+                format!("{seq} claimed by {}", claim.attempt.as_u128())
+            }
+            Record::Settled {
+                attempt, outcome, ..
+            } => {
+                let outcome = outcome_name(&outcome);
+                format!("{seq} settled by {}: {outcome}", attempt.as_u128())
+            }
+            Record::Billed(bill) => format!("{seq} billed {}", bill.request_id.as_u128()),
+        });
+    }
+    lines.join("\n")
+}
+
 /// A reply in few words, for snapshots.
 pub fn show(reply: &LedgerReply) -> String {
     match reply {
--- /dev/null
+++ b/crates/hemlockhitch_ledger/tests/requesters.rs
@@ -0,0 +1,166 @@
+//! The requester's side: repeats, releases and the buffer for bills.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{FaultyKeyValue, Writer, attempt, bill, claim, done, key, log_summary, now, writer};
+use hemlockhitch_ledger::bill::BillBuffer;
+use hemlockhitch_ledger::call::{LedgerCall, LedgerReply, LedgerService, NoTransport};
+use hemlockhitch_ledger::claim::{ClaimAnswer, Outcome};
+use hemlockhitch_ledger::shard::{ShardId, ShardOwner, ShardOwners, SoleOwner};
+use hemlockhitch_ledger::{Ledger, LedgerErrorKind, RoutedLedger, RoutedSettings};
+use hemlockhitch_model::{ManualClock, Now};
+use tokio::time::{Instant, sleep};
+
+type Local = RoutedLedger<SoleOwner, NoTransport, Writer<FaultyKeyValue>>;
+
+fn local(kv: &FaultyKeyValue) -> Local {
+    let writer = writer(kv, &ManualClock::new(), "n-1");
+    let settings = RoutedSettings::new().shard_count(1);
+    RoutedLedger::new(SoleOwner, NoTransport, writer, settings)
+}
+
+/// Serves calls as its writer does, but answers the first ones wrongly.
+#[derive(Clone)]
+struct Flaky {
+    writer: Writer<FaultyKeyValue>,
+    until: Instant,
+    serves_meanwhile: bool,
+}
+
+impl LedgerService for Flaky {
+    async fn handle(&self, call: LedgerCall, now: Now) -> LedgerReply {
+        if Instant::now() >= self.until {
+            return self.writer.handle(call, now).await;
+        }
+        if self.serves_meanwhile {
+            self.writer.handle(call, now).await;
+        }
+        LedgerReply::NotOwner
+    }
+}
+
+#[derive(Clone)]
+struct NoOwner;
+
+impl ShardOwners for NoOwner {
+    fn owner(&self, _shard: ShardId, _now: Now) -> ShardOwner {
+        ShardOwner::Nobody
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_is_repeated_until_an_owner_answers() {
+    for serves_meanwhile in [false, true] {
+        let flaky = Flaky {
+            writer: writer(&FaultyKeyValue::new(), &ManualClock::new(), "n-1"),
+            until: Instant::now() + Duration::from_secs(1),
+            serves_meanwhile,
+        };
+        let settings = RoutedSettings::new().shard_count(1);
+        let ledger = RoutedLedger::new(SoleOwner, NoTransport, flaky, settings);
+        let answer = ledger.claim(claim("a", 1), now()).await.unwrap();
+        assert_eq!(answer, ClaimAnswer::Granted);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_call_without_an_owner_fails_within_its_limit() {
+    let writer = writer(&FaultyKeyValue::new(), &ManualClock::new(), "n-1");
+    let ledger = RoutedLedger::new(NoOwner, NoTransport, writer, RoutedSettings::new());
+    let start = Instant::now();
+    let error = ledger.claim(claim("a", 1), now()).await.unwrap_err();
+    assert_eq!(error.kind(), LedgerErrorKind::Unavailable);
+    assert!(start.elapsed() <= Duration::from_millis(2_000));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_failed_claim_frees_its_key_and_spends_its_attempt() {
+    let kv = FaultyKeyValue::new();
+    let ledger = local(&kv);
+    ledger.claim(claim("z", 9), now()).await.unwrap();
+    kv.down(true);
+    ledger.claim(claim("a", 1), now()).await.unwrap_err();
+    let again = ledger.claim(claim("a", 1), now()).await.unwrap_err();
+    assert_eq!(again.kind(), LedgerErrorKind::NotHolder);
+    kv.down(false);
+    sleep(Duration::from_secs(5)).await;
+    let again = ledger.claim(claim("a", 1), now()).await.unwrap_err();
+    assert_eq!(again.kind(), LedgerErrorKind::NotHolder);
+    let answer = ledger.claim(claim("a", 2), now()).await.unwrap();
+    assert_eq!(answer, ClaimAnswer::Granted);
+    ledger
+        .settle(&key("a"), attempt(2), done("held"), now())
+        .await
+        .unwrap();
+    let state = ledger.find_claim(&key("a"), now()).await.unwrap().unwrap();
+    assert_eq!(state.outcome, Some(done("held")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_whose_caller_went_away_frees_its_key() {
+    let kv = FaultyKeyValue::new();
+    let ledger = local(&kv);
+    let cancelled = tokio::time::timeout(Duration::ZERO, ledger.claim(claim("a", 1), now()));
+    assert!(cancelled.await.is_err());
+    sleep(Duration::from_secs(5)).await;
+    let state = ledger.find_claim(&key("a"), now()).await.unwrap().unwrap();
+    assert_eq!(state.outcome, Some(Outcome::NotRun));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_buffer_refuses_and_an_outage_loses_and_doubles_no_bill() {
+    let kv = FaultyKeyValue::new();
+    let ledger = local(&kv);
+    let buffer = BillBuffer::new(ledger.clone(), ManualClock::new(), 3);
+    ledger.bill(bill(9), now()).await.unwrap();
+    kv.down(true);
+    for number in 1..=3 {
+        buffer.reserve().unwrap().submit(bill(number));
+    }
+    assert_eq!(buffer.reserve().unwrap_err().kind(), LedgerErrorKind::Full);
+    sleep(Duration::from_secs(600)).await;
+    assert_eq!(buffer.held(), 3);
+    kv.down(false);
+    assert_eq!(buffer.flush(5_000).await, 0);
+    let log = log_summary(&kv).await;
+    for number in [1, 2, 3, 9] {
+        assert_eq!(log.matches(&format!("billed {number}")).count(), 1, "{log}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_holds_no_more_calls_than_it_may_during_an_outage() {
+    let kv = FaultyKeyValue::new();
+    let settings = hemlockhitch_ledger::LedgerSettings::new("n-1")
+        .shard_count(1)
+        .max_waiting_calls(2);
+    let writer =
+        hemlockhitch_ledger::LedgerWriter::new(kv.clone(), SoleOwner, ManualClock::new(), settings);
+    writer.handle(LedgerCall::Bill(bill(1)), now()).await;
+    kv.down(true);
+    let mut replies = Vec::new();
+    // One bill is in the batch that is being written; two more may wait.
+    for number in [2, 3, 4, 5, 3, 4] {
+        let reply = writer.handle(LedgerCall::Bill(bill(number)), now()).await;
+        replies.push(common::show(&reply));
+    }
+    insta::assert_snapshot!(replies.join("\n"), @r"
+    failed Unavailable
+    failed Unavailable
+    failed Unavailable
+    failed Full
+    failed Unavailable
+    failed Unavailable
+    ");
+    kv.down(false);
+    sleep(Duration::from_secs(5)).await;
+    insta::assert_snapshot!(log_summary(&kv).await, @r"
+    1 opened by n-1, epoch 1
+    1 billed 1
+    2 billed 2
+    3 billed 3
+    3 billed 4
+    ");
+}
