--- /dev/null
+++ b/crates/hemlockhitch/src/node/late_ledger.rs
@@ -0,0 +1,38 @@
+//! The ledger's service before and after its writer exists.
+
+use std::sync::{Arc, OnceLock};
+
+use hemlockhitch_ledger::call::{LedgerCall, LedgerReply, LedgerService};
+use hemlockhitch_model::Now;
+
+use super::backend::Writer;
+
+/// Serves ledger calls once the writer is set; until then the node owns nothing.
+///
+/// The peers need the service to start, and the writer needs the peers.
+#[derive(Clone, Debug)]
+pub(super) struct LateLedger {
+    writer: Arc<OnceLock<Writer>>,
+}
+
+impl LateLedger {
+    pub(super) fn new() -> Self {
+        Self {
+            writer: Arc::default(),
+        }
+    }
+
+    /// Sets the writer; a second one is dropped.
+    pub(super) fn set(&self, writer: Writer) {
+        let _ = self.writer.set(writer);
+    }
+}
+
+impl LedgerService for LateLedger {
+    async fn handle(&self, call: LedgerCall, now: Now) -> LedgerReply {
+        match self.writer.get() {
+            Some(writer) => writer.handle(call, now).await,
+            None => LedgerReply::NotOwner,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlockhitch/src/node/vms.rs
@@ -0,0 +1,28 @@
+//! The VM list of a node.
+
+use std::net::SocketAddr;
+
+use hemlockhitch_platform::vm_list::{HttpVmList, Vm, VmList, VmListError};
+
+/// The platform's VM list, or none for a node that runs alone.
+#[derive(Clone, Debug)]
+pub(super) struct NodeVmList {
+    client: Option<HttpVmList>,
+}
+
+impl NodeVmList {
+    pub(super) fn new(address: Option<SocketAddr>) -> Self {
+        Self {
+            client: address.map(|address| HttpVmList::new(address.to_string())),
+        }
+    }
+}
+
+impl VmList for NodeVmList {
+    async fn list(&self) -> Result<Vec<Vm>, VmListError> {
+        match &self.client {
+            Some(client) => client.list().await,
+            None => Ok(Vec::new()),
+        }
+    }
+}
--- a/crates/hemlockhitch_router/src/backend.rs
+++ b/crates/hemlockhitch_router/src/backend.rs
@@ -36,6 +36,9 @@
     /// The node hears neither the store nor a peer.
     #[error("the node is cut off from the store and from its peers")]
     CutOff,
+    /// The node has stopped.
+    #[error("the node has stopped")]
+    Draining,
 }
 
 /// Decides whether the node may take new work.
--- a/crates/hemlockhitch_router/src/chat/relay.rs
+++ b/crates/hemlockhitch_router/src/chat/relay.rs
@@ -101,7 +101,10 @@
         let endpoint = dispatch.endpoint.clone();
         let first_token_ms = self.first_token_ms.unwrap_or_default();
         dispatch.finish(SlotReport::Served { first_token_ms }, now);
-        self.router.parts.suspects.served(self.plan.fingerprint);
+        self.router
+            .parts
+            .suspects
+            .served(self.plan.fingerprint, now);
         let bill = self.bill(endpoint.clone(), usage, now);
         self.note_step(endpoint, "whole");
         self.end("whole");
@@ -229,6 +232,7 @@
 
     fn note_step(&mut self, endpoint: EndpointName, ended: &str) {
         self.steps.push(Step {
+            at_unix_ms: self.router.now().unix_ms,
             endpoint,
             resume_offset_tokens: self.offset_tokens,
             ended: ended.to_owned(),
--- a/crates/hemlockhitch_router/src/explain/mod.rs
+++ b/crates/hemlockhitch_router/src/explain/mod.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Step {
+    /// When the dispatch ended, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
     /// The endpoint.
     pub endpoint: EndpointName,
     /// Tokens that were relayed before this dispatch.
--- a/crates/hemlockhitch_router/src/suspect/mod.rs
+++ b/crates/hemlockhitch_router/src/suspect/mod.rs
@@ -47,7 +47,7 @@
     fn crashed(&self, request: Fingerprint, now: Now) -> impl Future<Output = u32> + Send;
 
     /// Clears the suspicion of a request that an endpoint has served.
-    fn served(&self, request: Fingerprint);
+    fn served(&self, request: Fingerprint, now: Now);
 }
 
 /// Remembers the crashes that this node has seen.
@@ -91,7 +91,7 @@
         suspicion.crashes
     }
 
-    fn served(&self, request: Fingerprint) {
+    fn served(&self, request: Fingerprint, _now: Now) {
         let mut crashes = self.crashes.lock().unwrap_or_else(PoisonError::into_inner);
         crashes.remove(&request);
     }
