Refuse a call that cannot be written as HTTP as not run

Cause: the services' client gained an error for calls that are not valid. Change: such a call ends with not_run and frees its claim. Before: did not compile. After: it does. Conclusion: the claim is freed only where the call certainly did not run.

--- a/crates/hemlockhitch_router/src/call/claimed.rs
+++ b/crates/hemlockhitch_router/src/call/claimed.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::Planned;
-use super::dispatch::{bill, send, take_place};
+use super::dispatch::{bill, invalid, send, take_place};
 use crate::backend::Backend;
 use crate::refusal::{Refusal, RefusalKind};
 use crate::router::Router;
@@ -44,6 +44,10 @@
                 settle(router, &claim, Outcome::Unknown).await;
                 return Err(outcome_unknown());
             }
+            Err(error @ ServiceError::Invalid { .. }) => {
+                settle(router, &claim, Outcome::NotRun).await;
+                return Err(invalid(&error));
+            }
             Err(ServiceError::Unreachable { .. }) => avoided.push(endpoint),
         }
         // The call certainly did not run, so the claim still covers one dispatch.
--- a/crates/hemlockhitch_router/src/call/dispatch.rs
+++ b/crates/hemlockhitch_router/src/call/dispatch.rs
@@ -103,8 +103,9 @@
                 router.billing.deliver(bill).await;
                 return Ok(answer);
             }
+            Err(error @ ServiceError::Invalid { .. }) => return Err(invalid(&error)),
             Err(error) => {
-                may_have_run |= matches!(error, ServiceError::Broken { .. });
+                may_have_run |= !error.not_run();
                 tracing::info!(event = "HH0704", request = %planned.caller.request_id, %error, "call failed");
                 avoided.push(endpoint);
             }
@@ -120,6 +121,15 @@
     })
 }
 
+/// Refuses a call that cannot be written as HTTP.
+pub(super) fn invalid(error: &ServiceError) -> Refusal {
+    Refusal::not_run(
+        RefusalKind::BadRequest,
+        error.to_string(),
+        "correct the call",
+    )
+}
+
 /// Builds the bill of a call.
 pub(super) fn bill<B: Backend>(
     router: &Router<B>,
