Keep the configuration in the key-value service

Change N+1 is accepted by one compare-and-swap of its slot in a ring of 4096. Keys by generation with deletion were ruled out: a writer that was paused past the deletion would create a deleted key anew and be told that its change was accepted. A slot is never deleted, so its compare-and-swap fails.

A bound on the base's age was redundant with the ring and is left out.

--- a/crates/hemlockhitch_config/src/change/mod.rs
+++ b/crates/hemlockhitch_config/src/change/mod.rs
@@ -15,6 +15,23 @@
     pub row: Option<Row>,
 }
 
+impl RowEdit {
+    /// Adds or replaces a row.
+    #[must_use]
+    pub fn set(row: Row) -> Self {
+        Self {
+            key: row.key(),
+            row: Some(row),
+        }
+    }
+
+    /// Removes a row.
+    #[must_use]
+    pub fn remove(key: RowKey) -> Self {
+        Self { key, row: None }
+    }
+}
+
 /// One change of an operator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/hemlockhitch_config/src/configuration/mod.rs
+++ b/crates/hemlockhitch_config/src/configuration/mod.rs
@@ -13,6 +13,13 @@
 
 use crate::change::Change;
 
+/// How many of the newest generations are kept, each with its change; a change
+/// made against an older one is refused.
+pub const RETAINED_GENERATIONS: u64 = 4_096;
+
+/// How many changes pass between two removals of old markers.
+const MARKER_REMOVAL_INTERVAL: u64 = 64;
+
 /// A row and the generation that last changed it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -60,6 +67,23 @@
             };
             self.rows.insert(edit.key.clone(), versioned);
         }
+        if self.generation.is_multiple_of(MARKER_REMOVAL_INTERVAL) {
+            self.remove_old_markers();
+        }
+    }
+
+    /// Returns a row that exists.
+    #[must_use]
+    pub fn row(&self, key: &RowKey) -> Option<&Row> {
+        self.rows.get(key)?.row.as_ref()
+    }
+
+    /// Removes the markers of rows that were removed so long ago that no change
+    /// can conflict with them.
+    fn remove_old_markers(&mut self) {
+        let oldest = self.generation.saturating_sub(RETAINED_GENERATIONS);
+        self.rows
+            .retain(|_, versioned| versioned.row.is_some() || versioned.generation > oldest);
     }
 
     /// Iterates over the rows that exist.
--- a/crates/hemlockhitch_config/src/lib.rs
+++ b/crates/hemlockhitch_config/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod change;
+pub mod check;
 pub mod configuration;
 pub mod settings;
 pub mod store;
@@ -14,5 +15,5 @@
 pub use change::{Change, NumberedChange, RowEdit};
 pub use configuration::{Configuration, Row, RowKey, RowKind, VersionedRow};
 pub use settings::Settings;
-pub use store::Submission;
+pub use store::{ConfigStore, Submission};
 pub use table::RoutingTable;
--- /dev/null
+++ b/crates/hemlockhitch_config/src/store/blob.rs
@@ -0,0 +1,130 @@
+//! Texts that are larger than one value of the key-value service.
+
+use hemlockhitch_model::ChangeId;
+use hemlockhitch_platform::key_value::{Entry, Expected, KeyValue, Swap};
+use serde::{Deserialize, Serialize};
+
+use super::error::ConfigStoreError;
+
+/// The largest text that is stored in one value, in bytes.
+pub(super) const MAX_PART_BYTES: usize = 900_000;
+
+/// How many entries are listed at once for removal.
+const REMOVAL_PAGE: usize = 16;
+
+/// A text that is spread over several keys.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Blob {
+    prefix: String,
+    parts: u32,
+}
+
+impl Blob {
+    /// Writes the text below `prefix`, at keys that no other writer uses.
+    ///
+    /// The text comes into use only with the record that points to it, so a lost
+    /// answer counts as a failure without effect.
+    pub(super) async fn write<K: KeyValue>(
+        kv: &K,
+        prefix: &str,
+        text: &str,
+    ) -> Result<Self, ConfigStoreError> {
+        let prefix = format!("{prefix}{}/", ChangeId::random());
+        let mut parts = 0;
+        for part in split(text) {
+            let swap = Swap {
+                key: part_key(&prefix, parts),
+                expected: Expected::Any,
+                value: Some(part.to_owned()),
+                lease: None,
+            };
+            kv.swap(swap)
+                .await
+                .map_err(|error| ConfigStoreError::unavailable(&error))?;
+            parts += 1;
+        }
+        Ok(Self { prefix, parts })
+    }
+
+    /// Reads the text; `None` when a part was removed meanwhile.
+    pub(super) async fn read<K: KeyValue>(
+        &self,
+        kv: &K,
+    ) -> Result<Option<String>, ConfigStoreError> {
+        let mut text = String::new();
+        for part in 0..self.parts {
+            let Some(entry) = kv.get(&part_key(&self.prefix, part)).await? else {
+                return Ok(None);
+            };
+            text.push_str(&entry.value);
+        }
+        Ok(Some(text))
+    }
+
+    /// Returns whether a key belongs to the blob.
+    pub(super) fn owns(&self, key: &str) -> bool {
+        key.starts_with(&self.prefix)
+    }
+}
+
+/// A stored part that may be removed unless it is written again.
+#[derive(Clone, Debug)]
+pub(super) struct PartVersion {
+    pub(super) key: String,
+    version: u64,
+}
+
+/// Lists the parts below a prefix.
+pub(super) async fn list_parts<K: KeyValue>(
+    kv: &K,
+    prefix: &str,
+) -> Result<Vec<PartVersion>, ConfigStoreError> {
+    let mut parts: Vec<PartVersion> = Vec::new();
+    loop {
+        let after = parts.last().map(|part| part.key.clone());
+        let listing = kv.list(prefix, after.as_deref(), REMOVAL_PAGE).await?;
+        parts.extend(listing.entries.iter().map(part_version));
+        if !listing.more {
+            return Ok(parts);
+        }
+    }
+}
+
+/// Removes parts that were not written again since they were listed.
+pub(super) async fn remove_parts<K: KeyValue>(
+    kv: &K,
+    parts: impl IntoIterator<Item = PartVersion>,
+) -> Result<(), ConfigStoreError> {
+    for part in parts {
+        kv.swap(Swap::delete(part.key, part.version))
+            .await
+            .map_err(|error| ConfigStoreError::unavailable(&error))?;
+    }
+    Ok(())
+}
+
+fn part_version(entry: &Entry) -> PartVersion {
+    PartVersion {
+        key: entry.key.clone(),
+        version: entry.version,
+    }
+}
+
+fn part_key(prefix: &str, part: u32) -> String {
+    format!("{prefix}{part:04}")
+}
+
+/// Splits a text into parts of at most [`MAX_PART_BYTES`].
+fn split(text: &str) -> impl Iterator<Item = &str> {
+    let mut rest = text;
+    std::iter::from_fn(move || {
+        if rest.is_empty() {
+            return None;
+        }
+        let end = rest.floor_char_boundary(MAX_PART_BYTES.min(rest.len()));
+        let (part, left) = rest.split_at(end);
+        rest = left;
+        Some(part)
+    })
+}
--- /dev/null
+++ b/crates/hemlockhitch_config/src/store/error.rs
@@ -0,0 +1,101 @@
+//! Errors of the configuration store.
+
+use hemlockhitch_platform::key_value::{KeyValueError, KeyValueErrorKind};
+use thiserror::Error;
+
+use crate::check::RowFault;
+
+/// The kinds of failure of the configuration store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConfigStoreErrorKind {
+    /// The key-value service does not answer; nothing was written.
+    Unavailable,
+    /// A change may have been written; send the same change, with the same id,
+    /// again.
+    Unknown,
+    /// Others won the race too often; nothing was written.
+    Contended,
+    /// The generation asked for is no longer kept; load the configuration.
+    TooOld,
+    /// The change is not well formed; nothing was written.
+    Malformed,
+    /// The change would break these rules; nothing was written.
+    Invalid(Vec<RowFault>),
+    /// A stored record cannot be read.
+    Corrupt,
+}
+
+/// A failure of the configuration store.
+#[derive(Clone, Debug, Error)]
+#[error("configuration store: {detail}")]
+pub struct ConfigStoreError {
+    kind: ConfigStoreErrorKind,
+    detail: String,
+}
+
+impl ConfigStoreError {
+    pub(super) fn new(kind: ConfigStoreErrorKind, detail: impl Into<String>) -> Self {
+        Self {
+            kind,
+            detail: detail.into(),
+        }
+    }
+
+    pub(super) fn unknown(cause: &impl std::fmt::Display) -> Self {
+        let detail = format!("{cause}; the change may be written, send the same change again");
+        Self::new(ConfigStoreErrorKind::Unknown, detail)
+    }
+
+    pub(super) fn unavailable(cause: &impl std::fmt::Display) -> Self {
+        let detail = format!("{cause}; nothing was changed, try again later");
+        Self::new(ConfigStoreErrorKind::Unavailable, detail)
+    }
+
+    pub(super) fn contended() -> Self {
+        let detail = "others changed the configuration at the same time; send the change again";
+        Self::new(ConfigStoreErrorKind::Contended, detail)
+    }
+
+    pub(super) fn too_old(generation: u64) -> Self {
+        let detail =
+            format!("generation {generation} is no longer kept; load the configuration again");
+        Self::new(ConfigStoreErrorKind::TooOld, detail)
+    }
+
+    pub(super) fn malformed(detail: impl Into<String>) -> Self {
+        Self::new(ConfigStoreErrorKind::Malformed, detail)
+    }
+
+    pub(super) fn invalid(faults: Vec<RowFault>) -> Self {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        let detail = lines.join("\n");
+        Self::new(ConfigStoreErrorKind::Invalid(faults), detail)
+    }
+
+    pub(super) fn corrupt(key: &str, cause: &impl std::fmt::Display) -> Self {
+        let detail =
+            format!("{key} cannot be read: {cause}; run nodes of one version, or restore the key");
+        Self::new(ConfigStoreErrorKind::Corrupt, detail)
+    }
+
+    /// Returns the kind of the failure.
+    #[must_use]
+    pub fn kind(&self) -> &ConfigStoreErrorKind {
+        &self.kind
+    }
+}
+
+impl From<KeyValueError> for ConfigStoreError {
+    fn from(error: KeyValueError) -> Self {
+        let kind = match error.kind() {
+            KeyValueErrorKind::Unknown => ConfigStoreErrorKind::Unknown,
+            KeyValueErrorKind::TooLarge | KeyValueErrorKind::Protocol => {
+                ConfigStoreErrorKind::Corrupt
+            }
+            KeyValueErrorKind::Unavailable | KeyValueErrorKind::LeaseLapsed => {
+                ConfigStoreErrorKind::Unavailable
+            }
+        };
+        Self::new(kind, error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/hemlockhitch_config/tests/store.rs
@@ -0,0 +1,276 @@
+//! Contract of the configuration store, with the faults of the key-value service.
+
+mod support;
+
+use hemlockhitch_config::configuration::RETAINED_GENERATIONS;
+use hemlockhitch_config::store::{ConfigStore, ConfigStoreErrorKind, Submission};
+use hemlockhitch_config::{Change, RowEdit};
+use hemlockhitch_platform::key_value::{KeyValue, MemoryKeyValue};
+use insta::assert_snapshot;
+
+use support::{FaultyKeyValue, NOW, SwapFault, change, data_centre, set};
+
+async fn submit<K: KeyValue>(store: &ConfigStore<K>, change: Change) -> String {
+    match store.submit(change, NOW).await {
+        Ok(Submission::Written { generation }) => format!("written {generation}"),
+        Ok(Submission::Conflict { generation, rows }) => {
+            let rows: Vec<&str> = rows.iter().map(|row| row.as_str()).collect();
+            format!("conflict at {generation} on {}", rows.join(" "))
+        }
+        Err(error) => match error.kind() {
+            ConfigStoreErrorKind::Invalid(_) => format!("invalid: {error}"),
+            kind => format!("{kind:?}"),
+        },
+    }
+}
+
+#[tokio::test]
+async fn first_committer_wins_per_row() {
+    let store = ConfigStore::new(MemoryKeyValue::new());
+    let cases = [
+        ("first", set(1, 0, 1, false)),
+        ("other row, same base", set(2, 0, 2, false)),
+        ("same row, old base", set(3, 0, 1, true)),
+        ("same row, new base", set(4, 2, 1, true)),
+        ("same id again", set(4, 2, 1, true)),
+        ("first id again", set(1, 0, 1, false)),
+        (
+            "one row of two is old",
+            change(
+                5,
+                2,
+                [
+                    RowEdit::set(data_centre(1, false)),
+                    RowEdit::set(data_centre(3, false)),
+                ],
+            ),
+        ),
+        ("base from the future", set(6, 9, 1, true)),
+        ("no edit", change(7, 3, [])),
+        (
+            "row twice",
+            change(
+                8,
+                3,
+                [
+                    RowEdit::set(data_centre(3, false)),
+                    RowEdit::set(data_centre(3, true)),
+                ],
+            ),
+        ),
+        (
+            "key of another row",
+            change(
+                9,
+                3,
+                [RowEdit {
+                    key: data_centre(1, false).key(),
+                    row: Some(data_centre(3, false)),
+                }],
+            ),
+        ),
+    ];
+    let mut table = Vec::new();
+    for (name, change) in cases {
+        table.push(format!("{name}: {}", submit(&store, change).await));
+    }
+    assert_snapshot!(table.join("\n"), @r#"
+    first: written 1
+    other row, same base: written 2
+    same row, old base: conflict at 2 on data_centre/dc-1
+    same row, new base: written 3
+    same id again: written 3
+    first id again: written 1
+    one row of two is old: conflict at 3 on data_centre/dc-1
+    base from the future: Malformed
+    no edit: Malformed
+    row twice: Malformed
+    key of another row: Malformed
+    "#);
+    let configuration = store.load().await.expect("the store is up");
+    assert_eq!(configuration.generation, 3);
+    assert_eq!(configuration.row(&data_centre(3, false).key()), None);
+}
+
+#[tokio::test]
+async fn change_that_breaks_a_rule_is_refused() {
+    let store = ConfigStore::new(MemoryKeyValue::new());
+    submit(&store, set(1, 0, 1, false)).await;
+    let stop = serde_json::from_str(
+        r#"{"planned_stop":{"target":{"data_centre":"dc-1"},"from_unix_ms":1,"until_unix_ms":2}}"#,
+    )
+    .expect("a row");
+    let stop = RowEdit::set(stop);
+    assert_eq!(submit(&store, change(2, 1, [stop])).await, "written 2");
+    let removal = RowEdit::remove(data_centre(1, false).key());
+    assert_snapshot!(submit(&store, change(3, 2, [removal])).await, @r#"invalid: configuration store: planned_stop/data_centre/dc-1/1, data_centre: "dc-1" does not exist; add a row of kind data_centre for it, or correct the name"#);
+}
+
+#[tokio::test]
+async fn lost_answers_never_write_twice() {
+    use SwapFault::{AnswerLost, Late, Refused, RequestLost};
+    let cases = [
+        ("answer lost", vec![AnswerLost], false),
+        ("request lost", vec![RequestLost], false),
+        ("request late", vec![Late], false),
+        ("late and late", vec![Late, Late], false),
+        ("lost, then refused", vec![RequestLost, Refused], false),
+        ("refused", vec![Refused], false),
+        ("answer lost, then down", vec![AnswerLost], true),
+        ("request lost, then down", vec![RequestLost], true),
+        ("request late, then down", vec![Late], true),
+    ];
+    let mut table = Vec::new();
+    for (name, faults, down) in cases {
+        let kv = FaultyKeyValue::default();
+        let store = ConfigStore::new(kv.clone());
+        submit(&store, set(1, 0, 1, false)).await;
+        kv.script(faults);
+        if down {
+            kv.go_down_after_fault();
+        }
+        let first = submit(&store, set(2, 1, 2, false)).await;
+        kv.script([]);
+        kv.set_down(false);
+        kv.deliver_late().await;
+        let between = submit(&ConfigStore::new(kv.clone()), set(3, 1, 3, false)).await;
+        let again = submit(&ConfigStore::new(kv.clone()), set(2, 1, 2, false)).await;
+        let changes = store.changes_after(0, 0).await.expect("the store is up");
+        let ids: Vec<u128> = changes.iter().map(|it| it.change.id.as_u128()).collect();
+        table.push(format!(
+            "{name}: {first}; other {between}; again {again}; ids {ids:?}"
+        ));
+    }
+    assert_snapshot!(table.join("\n"), @r#"
+    answer lost: written 2; other written 3; again written 2; ids [1, 2, 3]
+    request lost: written 2; other written 3; again written 2; ids [1, 2, 3]
+    request late: written 2; other written 3; again written 2; ids [1, 2, 3]
+    late and late: written 2; other written 3; again written 2; ids [1, 2, 3]
+    lost, then refused: Unknown; other written 2; again written 3; ids [1, 3, 2]
+    refused: Unavailable; other written 2; again written 3; ids [1, 3, 2]
+    answer lost, then down: Unknown; other written 3; again written 2; ids [1, 2, 3]
+    request lost, then down: Unknown; other written 2; again written 3; ids [1, 3, 2]
+    request late, then down: Unknown; other written 3; again written 2; ids [1, 2, 3]
+    "#);
+}
+
+#[tokio::test]
+async fn store_that_is_down_changes_nothing() {
+    let kv = FaultyKeyValue::default();
+    let store = ConfigStore::new(kv.clone());
+    submit(&store, set(1, 0, 1, false)).await;
+    kv.set_down(true);
+    assert_eq!(submit(&store, set(2, 1, 2, false)).await, "Unavailable");
+    let error = store.load().await.expect_err("the store is down");
+    assert_eq!(*error.kind(), ConfigStoreErrorKind::Unavailable);
+    kv.set_down(false);
+    assert_eq!(store.load().await.expect("the store is up").generation, 1);
+}
+
+#[tokio::test]
+async fn fresh_reader_starts_at_a_snapshot() {
+    let kv = MemoryKeyValue::new();
+    let store = ConfigStore::new(kv.clone());
+    for number in 0..200 {
+        let written = submit(&store, set(number.into(), number, number % 5, false)).await;
+        assert_eq!(written, format!("written {}", number + 1));
+    }
+    let fresh = ConfigStore::new(kv.clone());
+    let loaded = fresh.load().await.expect("the store is up");
+    assert_eq!(loaded, store.load().await.expect("the store is up"));
+    let parts = kv
+        .list("config/snapshot_part/", None, 99)
+        .await
+        .expect("up");
+    assert_eq!(
+        parts.entries.len(),
+        1,
+        "parts of former snapshots are removed"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn changes_after_waits_for_the_next_change() {
+    let kv = MemoryKeyValue::new();
+    let store = ConfigStore::new(kv.clone());
+    let nothing = store.changes_after(0, 1_000).await.expect("up");
+    assert!(nothing.is_empty());
+    let writer = ConfigStore::new(kv);
+    let waiter = tokio::spawn(async move { store.changes_after(0, 60_000).await });
+    tokio::task::yield_now().await;
+    submit(&writer, set(1, 0, 1, false)).await;
+    let changes = waiter.await.expect("no panic").expect("up");
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].generation, 1);
+}
+
+#[tokio::test]
+async fn paused_writer_cannot_write_into_the_past() {
+    let kv = FaultyKeyValue::default();
+    let store = ConfigStore::new(kv.clone());
+    submit(&store, set(1, 0, 1, false)).await;
+    kv.script([SwapFault::Late]);
+    kv.go_down_after_fault();
+    assert_eq!(submit(&store, set(2, 1, 2, false)).await, "Unknown");
+    kv.set_down(false);
+    // Others go on in the store itself, so that the late write stays under way.
+    let others = ConfigStore::new(kv.inner.clone());
+    for number in 0..RETAINED_GENERATIONS + 70 {
+        let id = u128::from(number) + 10;
+        submit(&others, set(id, number + 1, 3, false)).await;
+    }
+    let before = others.load().await.expect("up");
+    assert_eq!(before.generation, RETAINED_GENERATIONS + 71);
+    kv.deliver_late().await;
+    let after = ConfigStore::new(kv.inner.clone()).load().await.expect("up");
+    assert_eq!(after, before);
+    let slots = kv
+        .inner
+        .list("config/change/", None, 10_000)
+        .await
+        .expect("up");
+    assert_eq!(slots.entries.len() as u64, RETAINED_GENERATIONS);
+    let error = others.changes_after(1, 0).await.expect_err("overwritten");
+    assert_eq!(*error.kind(), ConfigStoreErrorKind::TooOld);
+    assert_eq!(submit(&others, set(5, 1, 4, false)).await, "TooOld");
+    let newest = others
+        .changes_after(before.generation - 100, 0)
+        .await
+        .expect("kept");
+    assert_eq!(newest.len(), 100, "the tail runs over the end of the ring");
+}
+
+#[tokio::test]
+async fn change_without_snapshot_is_never_overwritten() {
+    let kv = FaultyKeyValue::default();
+    kv.set_snapshots_refused(true);
+    let store = ConfigStore::new(kv.clone());
+    for number in 0..RETAINED_GENERATIONS {
+        submit(&store, set(number.into(), number, number % 5, false)).await;
+    }
+    let next = set(10_000, RETAINED_GENERATIONS, 6, false);
+    assert_eq!(submit(&store, next.clone()).await, "Unavailable");
+    let loaded = ConfigStore::new(kv.clone()).load().await.expect("up");
+    assert_eq!(loaded.generation, RETAINED_GENERATIONS);
+    kv.set_snapshots_refused(false);
+    assert_eq!(submit(&store, next).await, "written 4097");
+    let loaded = ConfigStore::new(kv).load().await.expect("up");
+    assert_eq!(loaded.rows.len(), 6);
+}
+
+#[tokio::test]
+async fn large_change_is_split_over_values() {
+    let kv = MemoryKeyValue::new();
+    let store = ConfigStore::new(kv.clone());
+    let rows = (0..20_000).map(|number| RowEdit::set(data_centre(number, false)));
+    let large = change(1, 0, rows);
+    assert_eq!(submit(&store, large.clone()).await, "written 1");
+    assert_eq!(
+        submit(&ConfigStore::new(kv.clone()), large).await,
+        "written 1"
+    );
+    let loaded = ConfigStore::new(kv.clone()).load().await.expect("up");
+    assert_eq!(loaded.rows.len(), 20_000);
+    let parts = kv.list("config/change_part/", None, 99).await.expect("up");
+    assert!(parts.entries.len() > 1);
+}
