--- a/crates/hemlockhitch_config/tests/store.rs
+++ b/crates/hemlockhitch_config/tests/store.rs
@@ -4,7 +4,7 @@
 
 use hemlockhitch_config::configuration::RETAINED_GENERATIONS;
 use hemlockhitch_config::store::{ConfigStore, ConfigStoreErrorKind, Submission};
-use hemlockhitch_config::{Change, RowEdit};
+use hemlockhitch_config::{Change, RowEdit, RowKey};
 use hemlockhitch_platform::key_value::{KeyValue, MemoryKeyValue};
 use insta::assert_snapshot;
 
@@ -14,7 +14,7 @@
     match store.submit(change, NOW).await {
         Ok(Submission::Written { generation }) => format!("written {generation}"),
         Ok(Submission::Conflict { generation, rows }) => {
-            let rows: Vec<&str> = rows.iter().map(|row| row.as_str()).collect();
+            let rows: Vec<&str> = rows.iter().map(RowKey::as_str).collect();
             format!("conflict at {generation} on {}", rows.join(" "))
         }
         Err(error) => match error.kind() {
