Serve the whole path by separate processes

Cause: the packages were not yet seen to work together over real sockets. Change: a caller for tests and the demo, a fleet of processes on ports that the system picks, and three tests of the path: whole answers and holds run once, a change in force on every node, a stop that cuts no request. Ruled out: a fault in the slots; the refusals of the first seconds came from buckets that no node owned yet, so the tests wait until completions are served. Conclusion: a node must not say that it is ready before buckets have owners.

--- a/crates/hemlockhitch/src/node/administration.rs
+++ b/crates/hemlockhitch/src/node/administration.rs
@@ -6,7 +6,7 @@
     AdminError, AdminErrorCode, ChangeAnswer, DeferredStatus, EndpointState, EndpointStatus,
     Explanation, ExplanationStep, NodeState, NodeStatus, Progress, Stage, Status,
 };
-use hemlockhitch_config::store::{ConfigStore, ConfigStoreError, Submission};
+use hemlockhitch_config::store::{ConfigStore, ConfigStoreError, ConfigStoreErrorKind, Submission};
 use hemlockhitch_config::{Change, Configuration, NumberedChange};
 use hemlockhitch_http::admin::Administration;
 use hemlockhitch_model::{Clock, EndpointKey, NodeName, RequestId, SystemClock};
@@ -46,7 +46,7 @@
     /// Tells the peers of a change that was written.
     fn spread(&self, generation: u64, change: Change) {
         let numbered = hemlockhitch_peer::NumberedChange { generation, change };
-        self.peers.submitted(numbered, self.clock);
+        self.peers.submitted(numbered);
     }
 
     fn endpoint(&self, view: &View, key: EndpointKey) -> EndpointStatus {
@@ -85,7 +85,7 @@
     }
 
     fn progress(&self, generation: u64) -> Progress {
-        let in_force = self.peers.in_force(generation);
+        let in_force = self.peers.in_force(generation, self.clock.now());
         Progress {
             generation,
             in_force: in_force.confirmed,
@@ -134,16 +134,28 @@
 }
 
 fn store_error(error: &ConfigStoreError) -> AdminError {
-    let code = if error.may_be_written() {
-        AdminErrorCode::OutcomeUnknown
-    } else {
-        AdminErrorCode::StoreUnavailable
+    let (code, remedy) = match error.kind() {
+        ConfigStoreErrorKind::Unavailable | ConfigStoreErrorKind::Contended => (
+            AdminErrorCode::StoreUnavailable,
+            "send the same change again later",
+        ),
+        ConfigStoreErrorKind::Unknown => (
+            AdminErrorCode::OutcomeUnknown,
+            "send the same change again, with the same id",
+        ),
+        ConfigStoreErrorKind::TooOld => (
+            AdminErrorCode::NotFound,
+            "ask for the history after a later generation",
+        ),
+        ConfigStoreErrorKind::Malformed | ConfigStoreErrorKind::Invalid(_) => {
+            (AdminErrorCode::BadRequest, "correct the change")
+        }
+        ConfigStoreErrorKind::Corrupt => (
+            AdminErrorCode::Internal,
+            "compare the versions of the nodes; a record of the store cannot be read",
+        ),
     };
-    AdminError::new(
-        code,
-        error.to_string(),
-        "send the same change again, with the same id, once the store answers",
-    )
+    AdminError::new(code, error.to_string(), remedy)
 }
 
 fn node_status(member: &Member) -> NodeStatus {
--- /dev/null
+++ b/crates/hemlockhitch/tests/processes/support/mod.rs
@@ -0,0 +1,10 @@
+//! Starts fleets of processes.
+
+mod fleet;
+mod process;
+mod rows;
+mod wait;
+
+pub use fleet::{Fleet, FleetPlan};
+pub use rows::data_centre;
+pub use wait::{eventually, until};
--- a/crates/hemlockhitch_client/src/lib.rs
+++ b/crates/hemlockhitch_client/src/lib.rs
@@ -109,8 +109,7 @@
     ) -> Result<T, HttpError> {
         let body = serde_json::to_vec(message).map_err(|error| HttpError::unreadable(&error))?;
         let request = json_request(Method::POST, address, path, body)?;
-        let answer = self.fetch(request, limit).await?;
-        read_json(&answer)
+        self.fetch_json(request, limit).await
     }
 
     /// Reads a JSON answer.
@@ -125,6 +124,19 @@
         limit: Duration,
     ) -> Result<T, HttpError> {
         let request = json_request(Method::GET, address, path, Vec::new())?;
+        self.fetch_json(request, limit).await
+    }
+
+    /// Sends a request and reads a JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::post_json`].
+    pub async fn fetch_json<T: DeserializeOwned>(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<T, HttpError> {
         let answer = self.fetch(request, limit).await?;
         read_json(&answer)
     }
--- a/crates/hemlockhitch_standin/src/lib.rs
+++ b/crates/hemlockhitch_standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each stand-in can be started inside a test or run as an example in a process
 //! of its own.
 
+pub mod caller;
 pub mod command_line;
 pub mod engine;
 pub mod key_value;
