Read the operators' sheet and compare it with the configuration

A sheet holds the whole desired state. It never undoes what operators or the roll-out guard set while it was planned; what it leaves is listed with the command that changes it. A file cut short (no row, open quote) is refused, as its absent rows would otherwise be removed.

--- a/crates/hemlockhitch_config/src/check/mod.rs
+++ b/crates/hemlockhitch_config/src/check/mod.rs
@@ -63,6 +63,33 @@
     faults
 }
 
+/// Adds a fault for each allowance with a share of a withdrawn version.
+///
+/// This is a rule for sheets alone: a version that operators withdraw in haste
+/// keeps its shares.
+pub fn withdrawn_with_share<'a>(
+    rows: impl Iterator<Item = &'a Row> + Clone,
+    faults: &mut Vec<RowFault>,
+) {
+    let withdrawn: BTreeSet<&str> = rows
+        .clone()
+        .filter_map(|row| match row {
+            Row::Version(version) if version.withdrawn => Some(version.name.as_str()),
+            _ => None,
+        })
+        .collect();
+    for row in rows {
+        if let Row::Allowance(it) = row
+            && it.share.percent > 0.0
+            && withdrawn.contains(it.version.as_str())
+        {
+            let message = format!("{} is withdrawn and has a share", it.version);
+            let remedy = "give its share to another version";
+            faults.push(RowFault::new(row, "share_percent", message, remedy));
+        }
+    }
+}
+
 /// Returns the rules that `after` breaks and `before` did not.
 #[must_use]
 pub fn new_faults(before: &Configuration, after: &Configuration) -> Vec<RowFault> {
--- a/crates/hemlockhitch_config/src/check/relation.rs
+++ b/crates/hemlockhitch_config/src/check/relation.rs
@@ -27,8 +27,8 @@
             }
         },
         Row::RollOut(it) => {
-            exists(row, "from", it.from.as_str(), index, faults);
-            exists(row, "to", it.to.as_str(), index, faults);
+            exists(row, "from_version", it.from.as_str(), index, faults);
+            exists(row, "to_version", it.to.as_str(), index, faults);
         }
         Row::Version(_) | Row::DataCentre(_) => {}
     }
@@ -45,7 +45,9 @@
     }
     for ((organisation, model), members) in groups {
         let sum: f64 = members.iter().map(|(_, it)| it.share.percent).sum();
-        if (sum - 100.0).abs() <= SHARE_TOLERANCE_PERCENT {
+        let wrong = (sum - 100.0).abs() > SHARE_TOLERANCE_PERCENT;
+        if !wrong {
+            // A share that is not a number has a fault of its own.
             continue;
         }
         let message = format!("the shares of {organisation} on {model} add up to {sum}");
--- a/crates/hemlockhitch_config/src/check/single.rs
+++ b/crates/hemlockhitch_config/src/check/single.rs
@@ -14,6 +14,7 @@
 const METHODS: [&str; 5] = ["DELETE", "GET", "PATCH", "POST", "PUT"];
 
 pub(super) fn check(row: &Row, faults: &mut Vec<RowFault>) {
+    names(row, faults);
     match row {
         Row::Organisation(it) => organisation(row, it, faults),
         Row::Version(it) => version(row, it, faults),
@@ -27,6 +28,35 @@
     }
 }
 
+/// Checks the names that form the row's key.
+fn names(row: &Row, faults: &mut Vec<RowFault>) {
+    let names = match row {
+        Row::Organisation(it) => vec![("organisation", it.name.as_str())],
+        Row::Version(it) => vec![("version", it.name.as_str())],
+        Row::DataCentre(it) => vec![
+            ("data_centre", it.name.as_str()),
+            ("region", it.region.as_str()),
+        ],
+        Row::Endpoint(it) => vec![
+            ("endpoint", it.name.as_str()),
+            ("service", it.service.as_str()),
+        ],
+        // The names of the other kinds must exist in rows of the kinds above.
+        _ => Vec::new(),
+    };
+    for (column, name) in names {
+        if name.is_empty() || !name.chars().all(is_name_char) {
+            let message = format!("{name:?} is not a name");
+            let remedy = "use letters, digits, '-', '_', '.' and '@'";
+            faults.push(RowFault::new(row, column, message, remedy));
+        }
+    }
+}
+
+fn is_name_char(c: char) -> bool {
+    c.is_alphanumeric() || matches!(c, '-' | '_' | '.' | '@')
+}
+
 fn organisation(row: &Row, it: &Organisation, faults: &mut Vec<RowFault>) {
     let hash = &it.token_sha256;
     if hash.len() != SHA256_DIGITS || !hash.chars().all(|c| matches!(c, '0'..='9' | 'a'..='f')) {
@@ -124,8 +154,8 @@
 fn planned_stop(row: &Row, it: &PlannedStop, faults: &mut Vec<RowFault>) {
     if it.until_unix_ms <= it.from_unix_ms {
         let message = "is not after the start";
-        let remedy = "give an end later than the column from";
-        faults.push(RowFault::new(row, "until", message, remedy));
+        let remedy = "give an end later than starts_at";
+        faults.push(RowFault::new(row, "ends_at", message, remedy));
     }
 }
 
@@ -133,10 +163,15 @@
     share(row, it.share, faults);
     if it.from == it.to {
         let remedy = "name two versions of one model";
-        faults.push(RowFault::new(row, "to", "is the version that goes", remedy));
+        faults.push(RowFault::new(
+            row,
+            "to_version",
+            "is the version that goes",
+            remedy,
+        ));
     } else if it.from.model() != it.to.model() {
         let message = format!("{} is not a version of {}", it.to, it.from.model());
         let remedy = "name two versions of one model";
-        faults.push(RowFault::new(row, "to", message, remedy));
+        faults.push(RowFault::new(row, "to_version", message, remedy));
     }
 }
--- a/crates/hemlockhitch_config/src/lib.rs
+++ b/crates/hemlockhitch_config/src/lib.rs
@@ -9,11 +9,13 @@
 pub mod check;
 pub mod configuration;
 pub mod settings;
+pub mod sheet;
 pub mod store;
 pub mod table;
 
 pub use change::{Change, NumberedChange, RowEdit};
 pub use configuration::{Configuration, Row, RowKey, RowKind, VersionedRow};
 pub use settings::Settings;
+pub use sheet::Sheet;
 pub use store::{ConfigStore, Submission};
 pub use table::RoutingTable;
--- a/crates/hemlockhitch_config/tests/support/mod.rs
+++ b/crates/hemlockhitch_config/tests/support/mod.rs
@@ -177,7 +177,7 @@
 /// The time that tests submit at.
 pub const NOW: Now = Now {
     mono_ms: 0,
-    unix_ms: 1_764_750_000_000,
+    unix_ms: 1_796_331_600_000,
 };
 
 /// A row for the data centre of this number.
