--- a/crates/hemlockhitch_config/src/admin/error.rs
+++ b/crates/hemlockhitch_config/src/admin/error.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::store::{ConfigStoreError, ConfigStoreErrorKind};
+
 /// The kinds of refusal of the administration API.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -54,3 +56,35 @@
         }
     }
 }
+
+impl From<ConfigStoreError> for AdminError {
+    fn from(error: ConfigStoreError) -> Self {
+        let (code, remedy) = match error.kind() {
+            ConfigStoreErrorKind::Unavailable => (
+                AdminErrorCode::StoreUnavailable,
+                "nothing was written; try again later",
+            ),
+            ConfigStoreErrorKind::Unknown => (
+                AdminErrorCode::OutcomeUnknown,
+                "send the same change again, with the same id",
+            ),
+            ConfigStoreErrorKind::Contended => (
+                AdminErrorCode::StoreUnavailable,
+                "nothing was written; send the change again",
+            ),
+            ConfigStoreErrorKind::TooOld => (
+                AdminErrorCode::NotFound,
+                "read the configuration again and start from there",
+            ),
+            ConfigStoreErrorKind::Malformed | ConfigStoreErrorKind::Invalid(_) => (
+                AdminErrorCode::BadRequest,
+                "nothing was written; correct the change",
+            ),
+            ConfigStoreErrorKind::Corrupt => (
+                AdminErrorCode::Internal,
+                "look for event HH0405 in the node's log",
+            ),
+        };
+        Self::new(code, error.to_string(), remedy)
+    }
+}
--- a/crates/hemlockhitch_config/src/sheet/export.rs
+++ b/crates/hemlockhitch_config/src/sheet/export.rs
@@ -11,9 +11,11 @@
 
 /// One cell of a row.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Cell {
-    pub(super) column: &'static str,
-    pub(super) text: String,
+pub struct Cell {
+    /// The column.
+    pub column: &'static str,
+    /// The text.
+    pub text: String,
 }
 
 impl Sheet {
@@ -43,8 +45,9 @@
         .collect()
 }
 
-/// Returns the cells that a row fills.
-pub(super) fn cells(row: &Row) -> Vec<Cell> {
+/// Returns the cells that a row fills, in order of column.
+#[must_use]
+pub fn cells(row: &Row) -> Vec<Cell> {
     match row {
         Row::Organisation(it) => vec![
             cell("kind", &RowKind::Organisation.as_str()),
@@ -105,8 +108,8 @@
                 StopTarget::Endpoint(name) => cell("endpoint", name),
                 StopTarget::DataCentre(name) => cell("data_centre", name),
             },
-            cell("starts_at", &time(it.from_unix_ms)),
-            cell("ends_at", &time(it.until_unix_ms)),
+            cell("starts_at", &time_text(it.from_unix_ms)),
+            cell("ends_at", &time_text(it.until_unix_ms)),
         ],
         Row::RollOut(it) => vec![
             cell("kind", &RowKind::RollOut.as_str()),
@@ -143,7 +146,8 @@
 }
 
 /// Returns a time as RFC 3339, or as milliseconds if it has no such form.
-fn time(unix_ms: u64) -> String {
+#[must_use]
+pub fn time_text(unix_ms: u64) -> String {
     const NANOS_PER_MS: i128 = 1_000_000;
     OffsetDateTime::from_unix_timestamp_nanos(i128::from(unix_ms) * NANOS_PER_MS)
         .ok()
--- a/crates/hemlockhitch_config/src/sheet/mod.rs
+++ b/crates/hemlockhitch_config/src/sheet/mod.rs
@@ -25,6 +25,7 @@
 mod table;
 
 pub use difference::{CellDifference, KeptState, RowDifference, RowVerb, SheetDifference};
+pub use export::{Cell, cells, time_text};
 pub use fault::{SheetError, SheetFault};
 
 use std::collections::{BTreeMap, HashSet};
--- /dev/null
+++ b/crates/hemlockhitch_ctl/src/command/sheet.rs
@@ -0,0 +1,100 @@
+//! Checks, compares and applies sheets.
+
+use std::fs;
+use std::io::Write;
+
+use hemlockhitch_config::sheet::{RowVerb, Sheet, SheetDifference};
+use hemlockhitch_config::{Configuration, RowEdit};
+use hemlockhitch_model::{Clock, SystemClock};
+
+use super::change;
+use crate::args::{Invocation, SheetFile};
+use crate::client::AdminClient;
+use crate::error::CtlError;
+use crate::print;
+
+pub(super) fn check(file: &SheetFile, out: &mut impl Write) -> Result<(), CtlError> {
+    let sheet = read(file)?;
+    writeln!(
+        out,
+        "{}: {} rows, no fault",
+        file.path,
+        sheet.rows().count()
+    )?;
+    Ok(())
+}
+
+pub(super) async fn diff(
+    file: &SheetFile,
+    client: &AdminClient,
+    json: bool,
+    out: &mut impl Write,
+) -> Result<(), CtlError> {
+    let sheet = read(file)?;
+    let difference = sheet.diff(&client.configuration().await?);
+    if json {
+        return print::json(&difference, out);
+    }
+    write!(out, "{difference}")?;
+    writeln!(out, "{}", summary(&difference))?;
+    Ok(())
+}
+
+pub(super) async fn apply(
+    file: &SheetFile,
+    remove_most: bool,
+    client: &AdminClient,
+    invocation: &Invocation,
+    out: &mut impl Write,
+) -> Result<(), CtlError> {
+    let sheet = read(file)?;
+    let configuration = client.configuration().await?;
+    let change = sheet.change(&configuration, String::new(), SystemClock::new().now());
+    if !remove_most {
+        refuse_most_removed(&configuration, &change.edits)?;
+    }
+    if !invocation.json {
+        let difference = sheet.diff(&configuration);
+        write!(out, "{difference}")?;
+        writeln!(out, "{}", summary(&difference))?;
+    }
+    change::submit(&configuration, change.edits, client, invocation, out).await
+}
+
+fn read(file: &SheetFile) -> Result<Sheet, CtlError> {
+    let bytes = fs::read(&file.path).map_err(|error| {
+        CtlError::bad_input(format!(
+            "{} cannot be read: {error}; check the path",
+            file.path
+        ))
+    })?;
+    Sheet::parse(&bytes, &file.path).map_err(|error| CtlError::bad_input(error.to_string()))
+}
+
+/// Refuses a sheet that lacks more than half of the rows in force, as a file
+/// that was cut short does.
+fn refuse_most_removed(configuration: &Configuration, edits: &[RowEdit]) -> Result<(), CtlError> {
+    let present = configuration.present_rows().count();
+    let removed = edits.iter().filter(|edit| edit.row.is_none()).count();
+    if removed * 2 <= present {
+        return Ok(());
+    }
+    Err(CtlError::bad_input(format!(
+        "the sheet lacks {removed} of the {present} rows in force; check that it is whole, then \
+         repeat with --remove-most"
+    )))
+}
+
+fn summary(difference: &SheetDifference) -> String {
+    let count = |verb| {
+        let rows = difference.rows.iter();
+        rows.filter(|row| row.verb == verb).count()
+    };
+    format!(
+        "{} rows added, {} changed, {} removed, {} states kept",
+        count(RowVerb::Add),
+        count(RowVerb::Change),
+        count(RowVerb::Remove),
+        difference.kept.len()
+    )
+}
