--- a/crates/hemlockhitch_ledger/src/bill/mod.rs
+++ b/crates/hemlockhitch_ledger/src/bill/mod.rs
@@ -1,8 +1,12 @@
 //! Bills: one for each request that ran.
 
 mod buffer;
+mod sums;
 
 pub use buffer::{BillBuffer, BillSlot};
+pub use sums::{BillSums, read_sums};
+
+pub use crate::state::BillTotal;
 
 use hemlockhitch_model::{Class, EndpointName, OrganisationName, RequestId};
 use serde::{Deserialize, Serialize};
--- a/crates/hemlockhitch_ledger/src/error.rs
+++ b/crates/hemlockhitch_ledger/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the ledger.
 
+use hemlockhitch_platform::key_value::KeyValueError;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -17,6 +18,10 @@
     NotHolder,
     /// The record is larger than the store holds; shorten it.
     TooLarge,
+    /// The record is known, but its details are no longer kept.
+    Expired,
+    /// The settings do not fit the stored ledger; set its shard count.
+    Layout,
 }
 
 /// A failure of the ledger.
@@ -49,3 +54,12 @@
         self.kind
     }
 }
+
+impl From<KeyValueError> for LedgerError {
+    fn from(error: KeyValueError) -> Self {
+        Self::new(
+            LedgerErrorKind::Unavailable,
+            format!("{error}; retry later"),
+        )
+    }
+}
--- a/crates/hemlockhitch_ledger/src/lib.rs
+++ b/crates/hemlockhitch_ledger/src/lib.rs
@@ -10,6 +10,7 @@
 mod routed;
 mod settings;
 pub mod shard;
+mod snapshot;
 mod state;
 mod writer;
 
--- /dev/null
+++ b/crates/hemlockhitch_ledger/src/log/layout.rs
@@ -0,0 +1,47 @@
+//! The number of shards that the ledger was created with.
+//!
+//! A node that computed another shard for a key would look for its claim in the
+//! wrong log, so such a node opens no shard.
+
+use hemlockhitch_platform::key_value::{Entry, KeyValue, Swap, SwapOutcome};
+use serde::{Deserialize, Serialize};
+
+use crate::{LedgerError, LedgerErrorKind};
+
+const LAYOUT_KEY: &str = "ledger/layout";
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct Layout {
+    shard_count: u16,
+}
+
+/// Compares the settings with the stored layout, which the first node creates.
+pub(super) async fn check<K: KeyValue>(kv: &K, shard_count: u16) -> Result<(), LedgerError> {
+    let entry = match kv.get(LAYOUT_KEY).await? {
+        Some(entry) => entry,
+        None => match create(kv, Layout { shard_count }).await? {
+            Some(entry) => entry,
+            None => return Ok(()),
+        },
+    };
+    match serde_json::from_str::<Layout>(&entry.value) {
+        Ok(layout) if layout.shard_count == shard_count => Ok(()),
+        _ => Err(LedgerError::new(
+            LedgerErrorKind::Layout,
+            format!(
+                "the ledger was created as {}; set the same shard count, not {shard_count}",
+                entry.value
+            ),
+        )),
+    }
+}
+
+/// Creates the layout, or returns the one that another node has created.
+async fn create<K: KeyValue>(kv: &K, layout: Layout) -> Result<Option<Entry>, LedgerError> {
+    let value = serde_json::to_string(&layout).unwrap_or_default();
+    match kv.swap(Swap::create(LAYOUT_KEY, value)).await? {
+        SwapOutcome::Written(_) => Ok(None),
+        SwapOutcome::Conflict(entry) => Ok(entry),
+    }
+}
--- a/crates/hemlockhitch_ledger/src/record/mod.rs
+++ b/crates/hemlockhitch_ledger/src/record/mod.rs
@@ -1,5 +1,7 @@
 //! What a shard's log holds: batches of records.
 
+use std::fmt;
+
 use hemlockhitch_model::{NodeName, RequestId};
 use serde::{Deserialize, Serialize};
 
@@ -37,6 +39,9 @@
     },
     /// A request was billed.
     Billed(Bill),
+    /// A request was billed too late to tell whether the bill repeats one that
+    /// is forgotten; it is summed apart.
+    BilledLate(Bill),
 }
 
 /// Identifies one batch, so that a lost answer can be resolved by reading back.
@@ -44,6 +49,12 @@
 #[serde(transparent)]
 pub struct BatchId(RequestId);
 
+impl fmt::Display for BatchId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 impl BatchId {
     /// Draws a new identifier.
     #[must_use]
--- a/crates/hemlockhitch_ledger/src/settings.rs
+++ b/crates/hemlockhitch_ledger/src/settings.rs
@@ -35,6 +35,13 @@
     pub claim_unknown_ms: u64,
     /// How long claims and their outcomes are kept.
     pub retention_ms: u64,
+    /// Bytes of the claims and outcomes that one shard keeps; a shard that is
+    /// full refuses new claims.
+    pub max_claim_bytes: usize,
+    /// Number of bills of one shard whose repeats are recognised.
+    pub max_bill_ids: usize,
+    /// Batches of one shard after which its snapshot is stored.
+    pub snapshot_batches: u64,
     /// How long a drain may take.
     pub drain_limit_ms: u64,
 }
@@ -55,6 +62,9 @@
             answer_limit_ms: 1_500,
             claim_unknown_ms: 60_000,
             retention_ms: 24 * 60 * 60 * 1_000,
+            max_claim_bytes: 8 * 1024 * 1024,
+            max_bill_ids: 65_536,
+            snapshot_batches: 128,
             drain_limit_ms: 5_000,
         }
     }
@@ -96,6 +106,12 @@
     claim_unknown_ms: u64,
     /// Sets how long claims and outcomes are kept.
     retention_ms: u64,
+    /// Sets how many bytes of claims and outcomes a shard keeps.
+    max_claim_bytes: usize,
+    /// Sets the number of bills of a shard whose repeats are recognised.
+    max_bill_ids: usize,
+    /// Sets after how many batches of a shard its snapshot is stored.
+    snapshot_batches: u64,
     /// Sets how long a drain may take.
     drain_limit_ms: u64,
 }
--- a/crates/hemlockhitch_ledger/src/state/claims.rs
+++ b/crates/hemlockhitch_ledger/src/state/claims.rs
@@ -5,18 +5,24 @@
 use hemlockhitch_model::{Now, RequestId};
 
 use super::{Decision, not_holder};
+use crate::LedgerErrorKind;
 use crate::call::LedgerReply;
 use crate::claim::{Claim, ClaimAnswer, ClaimKey, ClaimState, Outcome};
 use crate::record::Record;
 use crate::settings::LedgerSettings;
+use crate::snapshot::ClaimEntry;
 
 /// How many attempts that ended as not run are remembered for one key.
 const MAX_SPENT_ATTEMPTS: usize = 8;
 
+/// The bytes of memory that a claim takes beside its texts.
+const CLAIM_BYTES: usize = 256;
+
 /// The claims of one shard by key.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Claims {
     entries: HashMap<ClaimKey, Entry>,
+    bytes: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -47,6 +53,16 @@
         }
     }
 
+    /// Returns the bytes of memory that the claim of `key` takes, roughly.
+    fn bytes(&self, key: &ClaimKey) -> usize {
+        let body_bytes = match &self.state.outcome {
+            Some(Outcome::Done { body, .. }) => body.len(),
+            _ => 0,
+        };
+        let text_bytes = key.idempotency_key.len() + self.state.call_digest.len();
+        CLAIM_BYTES + text_bytes + body_bytes
+    }
+
     fn spend(&mut self, attempt: RequestId) {
         if self.spent.contains(&attempt) {
             return;
@@ -67,13 +83,13 @@
             since_unix_ms: at_unix_ms,
             outcome: None,
         };
-        let spent = self.entries.remove(&claim.key).map(|entry| entry.spent);
+        let former = self.remove(&claim.key);
         let entry = Entry {
             state,
             changed_unix_ms: at_unix_ms,
-            spent: spent.unwrap_or_default(),
+            spent: former.map(|entry| entry.spent).unwrap_or_default(),
         };
-        self.entries.insert(claim.key.clone(), entry);
+        self.insert(claim.key.clone(), entry);
     }
 
     /// Records that `attempt` ended.
@@ -84,7 +100,7 @@
         outcome: &Outcome,
         at_unix_ms: u64,
     ) {
-        let entry = self.entries.entry(key.clone()).or_insert_with(|| Entry {
+        let mut entry = self.remove(key).unwrap_or_else(|| Entry {
             state: ClaimState {
                 attempt,
                 call_digest: String::new(),
@@ -100,6 +116,7 @@
         if *outcome == Outcome::NotRun {
             entry.spend(attempt);
         }
+        self.insert(key.clone(), entry);
     }
 
     /// Decides whether `claim` is granted.
@@ -110,6 +127,9 @@
         now: Now,
     ) -> Decision {
         let Some(entry) = self.kept(&claim.key, settings, now) else {
+            if self.bytes >= settings.max_claim_bytes {
+                return full();
+            }
             return grant(claim, now);
         };
         if entry.spent.contains(&claim.attempt) {
@@ -183,12 +203,63 @@
         Some(state)
     }
 
+    /// Forgets the claims that are kept no longer.
+    pub(super) fn prune(&mut self, settings: &LedgerSettings, now: Now) {
+        self.entries.retain(|_, entry| entry.is_kept(settings, now));
+        let sizes = self.entries.iter().map(|(key, entry)| entry.bytes(key));
+        self.bytes = sizes.sum();
+    }
+
+    /// Returns the claims as they are stored in a snapshot.
+    pub(super) fn entries(&self) -> Vec<ClaimEntry> {
+        let entries = self.entries.iter().map(|(key, entry)| ClaimEntry {
+            key: key.clone(),
+            state: entry.state.clone(),
+            changed_unix_ms: entry.changed_unix_ms,
+            spent: entry.spent.clone(),
+        });
+        entries.collect()
+    }
+
+    /// Reads the claims of a snapshot.
+    pub(super) fn restore(entries: Vec<ClaimEntry>) -> Self {
+        let mut claims = Self::default();
+        for stored in entries {
+            let entry = Entry {
+                state: stored.state,
+                changed_unix_ms: stored.changed_unix_ms,
+                spent: stored.spent,
+            };
+            claims.insert(stored.key, entry);
+        }
+        claims
+    }
+
+    fn insert(&mut self, key: ClaimKey, entry: Entry) {
+        self.bytes += entry.bytes(&key);
+        self.entries.insert(key, entry);
+    }
+
+    fn remove(&mut self, key: &ClaimKey) -> Option<Entry> {
+        let entry = self.entries.remove(key)?;
+        self.bytes -= entry.bytes(key);
+        Some(entry)
+    }
+
     fn kept(&self, key: &ClaimKey, settings: &LedgerSettings, now: Now) -> Option<&Entry> {
         let entry = self.entries.get(key)?;
         entry.is_kept(settings, now).then_some(entry)
     }
 }
 
+fn full() -> Decision {
+    Decision::Confirm(LedgerReply::Failed {
+        kind: LedgerErrorKind::Full,
+        detail: "the shard holds as many claims as it may; raise the limit or keep them shorter"
+            .to_owned(),
+    })
+}
+
 fn grant(claim: Claim, now: Now) -> Decision {
     let record = Record::Claimed {
         claim,
--- a/crates/hemlockhitch_ledger/src/state/mod.rs
+++ b/crates/hemlockhitch_ledger/src/state/mod.rs
@@ -1,27 +1,27 @@
 //! The state that a shard's records add up to.
 
+mod bills;
 mod claims;
 mod totals;
 
-pub use totals::BillTotals;
+pub use totals::{BillTotal, BillTotals};
 
-use std::collections::HashMap;
-
-use hemlockhitch_model::{Now, RequestId};
+use hemlockhitch_model::Now;
 
 use crate::LedgerErrorKind;
 use crate::call::{LedgerCall, LedgerReply};
 use crate::record::{Batch, Record};
 use crate::settings::LedgerSettings;
+use crate::snapshot::{RecordedBill, SnapshotContent};
 
+use bills::Bills;
 use claims::Claims;
 
 /// The claims, the recent bills and the totals of one shard.
 #[derive(Clone, Debug, Default)]
 pub struct ShardState {
     claims: Claims,
-    bills: HashMap<RequestId, u64>,
-    totals: BillTotals,
+    bills: Bills,
     epoch: u64,
 }
 
@@ -32,13 +32,8 @@
     Write(Record, LedgerReply),
     /// The reply is sent once the state is known to be current.
     Confirm(LedgerReply),
-    /// The bill lies in the batch at this position of the log.
-    ReadBill {
-        /// The request that was billed.
-        request_id: RequestId,
-        /// The position of the batch.
-        seq: u64,
-    },
+    /// The bill is read again from the log.
+    ReadBill(RecordedBill),
 }
 
 impl ShardState {
@@ -48,6 +43,18 @@
         self.epoch
     }
 
+    /// Returns the sums of the bills but the late ones.
+    #[must_use]
+    pub fn totals(&self) -> &BillTotals {
+        self.bills.totals()
+    }
+
+    /// Returns the sums of the late bills.
+    #[must_use]
+    pub fn late_totals(&self) -> &BillTotals {
+        self.bills.late_totals()
+    }
+
     /// Adds the records of a batch.
     pub fn apply(&mut self, batch: &Batch) {
         for record in &batch.records {
@@ -66,14 +73,29 @@
                 outcome,
                 at_unix_ms,
             } => self.claims.settle(key, *attempt, outcome, *at_unix_ms),
-            Record::Billed(bill) => {
-                if self.bills.insert(bill.request_id, seq).is_none() {
-                    self.totals.add(bill);
-                }
-            }
+            Record::Billed(bill) => self.bills.record(bill, seq, false),
+            Record::BilledLate(bill) => self.bills.record(bill, seq, true),
         }
     }
 
+    /// Forgets what is kept no longer.
+    pub fn prune(&mut self, settings: &LedgerSettings, now: Now) {
+        self.claims.prune(settings, now);
+        self.bills.prune(settings, now);
+    }
+
+    /// Returns the state as it is stored in a snapshot.
+    #[must_use]
+    pub fn content(&self) -> SnapshotContent {
+        let mut content = SnapshotContent {
+            epoch: self.epoch,
+            claims: self.claims.entries(),
+            ..SnapshotContent::default()
+        };
+        self.bills.store(&mut content);
+        content
+    }
+
     /// Decides what `call` does.
     #[must_use]
     pub fn decide(&self, call: LedgerCall, settings: &LedgerSettings, now: Now) -> Decision {
@@ -84,16 +106,8 @@
                 attempt,
                 outcome,
             } => self.claims.decide_settle(key, attempt, outcome, now),
-            LedgerCall::Bill(bill) => {
-                if self.bills.contains_key(&bill.request_id) {
-                    return Decision::Confirm(LedgerReply::Recorded);
-                }
-                Decision::Write(Record::Billed(bill), LedgerReply::Recorded)
-            }
-            LedgerCall::FindBill(request_id) => match self.bills.get(&request_id) {
-                Some(&seq) => Decision::ReadBill { request_id, seq },
-                None => Decision::Confirm(LedgerReply::Bill(None)),
-            },
+            LedgerCall::Bill(bill) => self.bills.decide(bill),
+            LedgerCall::FindBill(request_id) => self.bills.find(request_id),
             LedgerCall::FindClaim(key) => {
                 let found = self.claims.find(&key, settings, now);
                 Decision::Confirm(LedgerReply::Claimed(found))
@@ -102,6 +116,16 @@
     }
 }
 
+impl From<SnapshotContent> for ShardState {
+    fn from(mut content: SnapshotContent) -> Self {
+        Self {
+            epoch: content.epoch,
+            bills: Bills::restore(&mut content),
+            claims: Claims::restore(content.claims),
+        }
+    }
+}
+
 /// Refuses a call of an attempt that does not hold the claim.
 fn not_holder(detail: &str) -> Decision {
     Decision::Confirm(LedgerReply::Failed {
--- a/crates/hemlockhitch_ledger/src/state/totals.rs
+++ b/crates/hemlockhitch_ledger/src/state/totals.rs
@@ -27,6 +27,35 @@
     pub cost_micros: u64,
 }
 
+impl BillTotal {
+    fn of(bill: &Bill) -> Self {
+        Self {
+            organisation: bill.organisation.clone(),
+            class: bill.class,
+            ran_on: bill.ran_on.clone(),
+            request_count: 1,
+            prompt_tokens: u64::from(bill.prompt_tokens),
+            completion_tokens: u64::from(bill.completion_tokens),
+            cost_micros: bill.cost_micros,
+        }
+    }
+
+    fn key(&self) -> TotalKey {
+        TotalKey {
+            organisation: self.organisation.clone(),
+            class: self.class,
+            ran_on: self.ran_on.clone(),
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.request_count += other.request_count;
+        self.prompt_tokens += other.prompt_tokens;
+        self.completion_tokens += other.completion_tokens;
+        self.cost_micros = self.cost_micros.saturating_add(other.cost_micros);
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct TotalKey {
     organisation: OrganisationName,
@@ -43,23 +72,37 @@
 impl BillTotals {
     /// Adds one bill.
     pub fn add(&mut self, bill: &Bill) {
-        let key = TotalKey {
-            organisation: bill.organisation.clone(),
-            class: bill.class,
-            ran_on: bill.ran_on.clone(),
-        };
-        let total = self.totals.entry(key).or_insert_with(|| BillTotal {
-            organisation: bill.organisation.clone(),
-            class: bill.class,
-            ran_on: bill.ran_on.clone(),
-            request_count: 0,
-            prompt_tokens: 0,
-            completion_tokens: 0,
-            cost_micros: 0,
-        });
-        total.request_count += 1;
-        total.prompt_tokens += u64::from(bill.prompt_tokens);
-        total.completion_tokens += u64::from(bill.completion_tokens);
-        total.cost_micros += bill.cost_micros;
+        self.add_total(&BillTotal::of(bill));
+    }
+
+    /// Adds the sums of another shard.
+    pub fn merge(&mut self, other: &Self) {
+        for total in other.iter() {
+            self.add_total(total);
+        }
+    }
+
+    /// Iterates over the sums in order of organisation.
+    pub fn iter(&self) -> impl Iterator<Item = &BillTotal> {
+        self.totals.values()
+    }
+
+    fn add_total(&mut self, total: &BillTotal) {
+        match self.totals.get_mut(&total.key()) {
+            Some(sum) => sum.add(total),
+            None => {
+                self.totals.insert(total.key(), total.clone());
+            }
+        }
+    }
+}
+
+impl From<Vec<BillTotal>> for BillTotals {
+    fn from(totals: Vec<BillTotal>) -> Self {
+        let mut sums = Self::default();
+        for total in &totals {
+            sums.add_total(total);
+        }
+        sums
     }
 }
--- a/crates/hemlockhitch_ledger/src/writer/mod.rs
+++ b/crates/hemlockhitch_ledger/src/writer/mod.rs
@@ -2,6 +2,7 @@
 
 mod pace;
 mod pending;
+mod snapshots;
 mod task;
 
 use std::collections::HashMap;
--- a/crates/hemlockhitch_ledger/src/writer/task.rs
+++ b/crates/hemlockhitch_ledger/src/writer/task.rs
@@ -3,20 +3,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlockhitch_model::{Clock, RequestId};
+use hemlockhitch_model::Clock;
 use hemlockhitch_platform::key_value::KeyValue;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::pace::Pace;
 use super::pending::{Pending, Waiting};
-use crate::LedgerError;
+use super::snapshots::Snapshots;
 use crate::call::LedgerReply;
 use crate::log::{LogError, ShardLog};
 use crate::record::{Batch, BatchId, Record};
 use crate::settings::LedgerSettings;
 use crate::shard::{ShardId, ShardOwner, ShardOwners};
+use crate::snapshot::RecordedBill;
 use crate::state::{Decision, ShardState};
+use crate::{LedgerError, LedgerErrorKind};
 
 /// How often an idle shard asks whether it still belongs to this node.
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_secs(5);
@@ -46,6 +48,7 @@
 struct Opened<K> {
     log: ShardLog<K>,
     state: ShardState,
+    snapshots: Snapshots,
     /// Whether this owner has written since it read the log.
     announced: bool,
 }
@@ -59,13 +62,7 @@
 /// Where the content of a reply comes from.
 enum Answer {
     Ready(LedgerReply),
-    Bill(BillAt),
-}
-
-/// Where a bill lies in the log.
-struct BillAt {
-    request_id: RequestId,
-    seq: u64,
+    Read(RecordedBill),
 }
 
 impl<K: KeyValue, C: Clock, O: ShardOwners> ShardTask<K, C, O> {
@@ -90,13 +87,15 @@
     ///
     /// Callers whose replies are dropped learn that the node is not the owner.
     pub(super) async fn run(self, mut calls: mpsc::Receiver<Waiting>) {
-        let (log, state) = match ShardLog::open(self.kv.clone(), self.shard).await {
+        let shard_count = self.settings.shard_count;
+        let opened = match ShardLog::open(self.kv.clone(), self.shard, shard_count).await {
             Ok(opened) => opened,
             Err(error) => return self.fail(&mut calls, &error).await,
         };
         let mut open = Opened {
-            log,
-            state,
+            log: opened.log,
+            state: opened.state,
+            snapshots: Snapshots::new(self.shard, self.settings.snapshot_batches),
             announced: false,
         };
         match self.serve(&mut open, &mut calls).await {
@@ -143,6 +142,7 @@
             }
             fill_while(&mut pending, calls, open.log.append(&batch)).await?;
             send(&open.log, due).await;
+            fill_while(&mut pending, calls, self.snapshot(open)).await;
         }
         Ok(())
     }
@@ -170,6 +170,25 @@
         true
     }
 
+    /// Lets the snapshot keep up with the log.
+    async fn snapshot(&self, open: &mut Opened<K>) {
+        let Opened {
+            log,
+            state,
+            snapshots,
+            ..
+        } = open;
+        snapshots.collect(log).await;
+        while snapshots.is_due(log) {
+            state.prune(&self.settings, self.clock.now());
+            snapshots.start(&self.kv, log, state);
+            if !log.is_full() {
+                return;
+            }
+            snapshots.wait(log).await;
+        }
+    }
+
     fn is_owner(&self) -> bool {
         self.owners.owner(self.shard, self.clock.now()) == ShardOwner::Here
     }
@@ -190,7 +209,7 @@
                     Answer::Ready(reply)
                 }
                 Decision::Confirm(reply) => Answer::Ready(reply),
-                Decision::ReadBill { request_id, seq } => Answer::Bill(BillAt { request_id, seq }),
+                Decision::ReadBill(recorded) => Answer::Read(recorded),
             };
             due.push(Due {
                 reply: waiting.reply,
@@ -262,21 +281,31 @@
     for Due { reply, answer } in due {
         let answer = match answer {
             Answer::Ready(answer) => answer,
-            Answer::Bill(at) => read_bill(log, &at).await,
+            Answer::Read(recorded) => read_bill(log, recorded).await,
         };
         let _ = reply.send(answer);
     }
 }
 
-async fn read_bill<K: KeyValue>(log: &ShardLog<K>, at: &BillAt) -> LedgerReply {
-    let batch = match log.read(at.seq).await {
+async fn read_bill<K: KeyValue>(log: &ShardLog<K>, recorded: RecordedBill) -> LedgerReply {
+    let batch = match log.read(recorded.seq).await {
         Ok(batch) => batch,
         Err(error) => return LedgerReply::failed(&error),
     };
     let records = batch.map(|batch| batch.records).unwrap_or_default();
-    let bill = records.into_iter().find_map(|record| match record {
-        Record::Billed(bill) if bill.request_id == at.request_id => Some(bill),
-        _ => None,
+    let bill = records.into_iter().find_map(|record| {
+        match record {
+            Record::Billed(bill) | Record::BilledLate(bill) => Some(bill),
+            _ => None,
+        }
+        .filter(|bill| bill.request_id == recorded.request_id)
     });
-    LedgerReply::Bill(bill)
+    match bill {
+        Some(bill) => LedgerReply::Bill(Some(bill)),
+        None => LedgerReply::Failed {
+            kind: LedgerErrorKind::Expired,
+            detail: "the request was billed; its bill has left the log and is in the sums"
+                .to_owned(),
+        },
+    }
 }
--- a/crates/hemlockhitch_ledger/tests/claims.rs
+++ b/crates/hemlockhitch_ledger/tests/claims.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{
-    Fault, FaultyKeyValue, Writer, claim_call, done, key, log_summary, now, settle_call, show,
-    writer,
+    Fault, FaultyKeyValue, Writer, claim_call, done, key, log_summary, now, open, settle_call,
+    show, writer,
 };
 use hemlockhitch_ledger::call::{LedgerCall, LedgerReply};
 use hemlockhitch_ledger::claim::Outcome;
@@ -131,6 +131,7 @@
     for faults in faults {
         let kv = FaultyKeyValue::new();
         let writer = writer(&kv, &ManualClock::new(), "n-1");
+        open(&writer).await;
         kv.script(faults.clone());
         let reply = writer.handle(claim_call("a", 1), now()).await;
         assert_eq!(show(&reply), "granted", "{faults:?}");
--- a/crates/hemlockhitch_ledger/tests/common/faulty.rs
+++ b/crates/hemlockhitch_ledger/tests/common/faulty.rs
@@ -45,6 +45,7 @@
 struct Faults {
     swaps: VecDeque<Fault>,
     is_down: bool,
+    refused: Option<&'static str>,
     swap_count: u64,
     read_count: u64,
 }
@@ -72,6 +73,11 @@
         self.faults().is_down = is_down;
     }
 
+    /// Lets every swap of a key that contains `part` fail.
+    pub fn refuse(&self, part: Option<&'static str>) {
+        self.faults().refused = part;
+    }
+
     pub fn swap_count(&self) -> u64 {
         self.faults().swap_count
     }
@@ -90,10 +96,10 @@
         if faults.is_down { Err(down()) } else { Ok(()) }
     }
 
-    fn next_fault(&self) -> Fault {
+    fn next_fault(&self, key: &str) -> Fault {
         let mut faults = self.faults();
         faults.swap_count += 1;
-        if faults.is_down {
+        if faults.is_down || faults.refused.is_some_and(|part| key.contains(part)) {
             return Fault::Down;
         }
         faults.swaps.pop_front().unwrap_or(Fault::None)
@@ -125,7 +131,7 @@
     }
 
     async fn swap(&self, swap: Swap) -> Result<SwapOutcome, KeyValueError> {
-        match self.next_fault() {
+        match self.next_fault(&swap.key) {
             Fault::None => self.store.swap(swap).await,
             Fault::Down => Err(down()),
             Fault::LostCall => Err(lost()),
--- a/crates/hemlockhitch_ledger/tests/common/mod.rs
+++ b/crates/hemlockhitch_ledger/tests/common/mod.rs
@@ -23,6 +23,14 @@
     LedgerWriter::new(kv.clone(), SoleOwner, clock.clone(), settings)
 }
 
+/// Lets a writer open shard 0 without a record.
+pub async fn open(writer: &Writer<FaultyKeyValue>) {
+    let reply = writer
+        .handle(LedgerCall::FindClaim(key("none")), now())
+        .await;
+    assert_eq!(show(&reply), "unclaimed");
+}
+
 pub fn now() -> Now {
     ManualClock::new().now()
 }
@@ -116,6 +124,7 @@
                 format!("{seq} settled by {}: {outcome}", attempt.as_u128())
             }
             Record::Billed(bill) => format!("{seq} billed {}", bill.request_id.as_u128()),
+            Record::BilledLate(bill) => format!("{seq} billed late {}", bill.request_id.as_u128()),
         });
     }
     lines.join("\n")
--- a/crates/hemlockhitch_ledger/tests/fuzz.rs
+++ b/crates/hemlockhitch_ledger/tests/fuzz.rs
@@ -8,10 +8,13 @@
 use std::time::Duration;
 
 use common::{Fault, FaultyKeyValue, Writer, attempt, bill, claim_call, done, key, log_records};
-use common::{now, settle_call, writer};
+use common::{now, settle_call};
+use hemlockhitch_ledger::bill::read_sums;
 use hemlockhitch_ledger::call::{LedgerCall, LedgerReply};
 use hemlockhitch_ledger::claim::{ClaimAnswer, Outcome};
 use hemlockhitch_ledger::record::Record;
+use hemlockhitch_ledger::shard::SoleOwner;
+use hemlockhitch_ledger::{LedgerErrorKind, LedgerSettings, LedgerWriter};
 use hemlockhitch_model::ManualClock;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use tokio::task::JoinSet;
@@ -179,7 +182,10 @@
 
     fn node(&self, index: usize) -> Node {
         let kv = self.root.beside();
-        let writer = writer(&kv, &self.clock, &format!("n-{index}"));
+        let settings = LedgerSettings::new(format!("n-{index}"))
+            .shard_count(1)
+            .snapshot_batches(2);
+        let writer = LedgerWriter::new(kv.clone(), SoleOwner, self.clock.clone(), settings);
         Node { kv, writer }
     }
 
@@ -237,11 +243,12 @@
             LedgerReply::Recorded => {
                 seen.released.insert(number);
             }
-            LedgerReply::Failed { kind, detail } => {
-                if kind == hemlockhitch_ledger::LedgerErrorKind::NotHolder {
-                    seen.errors
-                        .push(format!("{number} lost its claim: {detail}"));
-                }
+            LedgerReply::Failed {
+                kind: LedgerErrorKind::NotHolder,
+                detail,
+            } => {
+                seen.errors
+                    .push(format!("{number} lost its claim: {detail}"));
             }
             _ => {}
         });
@@ -300,6 +307,14 @@
         let mut errors = seen.errors;
         errors.extend(check_claims(&records));
         errors.extend(check_bills(&records, &seen.billed));
+        let billed = records
+            .iter()
+            .filter(|(_, record)| matches!(record, Record::Billed(_)));
+        let totals = read_sums(&self.root, 1).await.unwrap().totals;
+        let summed: u64 = totals.iter().map(|total| total.request_count).sum();
+        if summed != billed.count() as u64 {
+            errors.push(format!("{summed} bills are summed"));
+        }
         for number in &seen.granted {
             let is_logged = records.iter().any(|(_, record)| {
                 matches!(record, Record::Claimed { claim, .. } if claim.attempt == attempt(*number as u128))
--- a/crates/hemlockhitch_ledger/tests/owners.rs
+++ b/crates/hemlockhitch_ledger/tests/owners.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use common::{
-    Fault, FaultyKeyValue, attempt, bill, claim_call, log_summary, now, settle_call, show, writer,
+    Fault, FaultyKeyValue, attempt, bill, claim_call, log_summary, now, open, settle_call, show,
+    writer,
 };
 use hemlockhitch_ledger::call::LedgerCall;
 use hemlockhitch_ledger::claim::Outcome;
@@ -117,6 +118,7 @@
     let new_kv = kv.beside();
     let new = writer(&new_kv, &clock, "new");
     let mut lines = Vec::new();
+    open(&old).await;
     kv.script([Fault::LostAnswer]);
     lines.push(show(&old.handle(LedgerCall::Bill(bill(1)), now()).await));
     lines.push(show(&old.handle(LedgerCall::Bill(bill(1)), now()).await));
