Show the whole system in one command

Cause: a newcomer had no way to see the system run. A node now reports itself ready only once each ledger shard has an owner. Before: no demo; a ready node refused its first completions.

--- a/crates/hemlockhitch/src/node/administration.rs
+++ b/crates/hemlockhitch/src/node/administration.rs
@@ -45,7 +45,7 @@
 
     /// Tells the peers of a change that was written.
     fn spread(&self, generation: u64, change: Change) {
-        let numbered = hemlockhitch_peer::NumberedChange { generation, change };
+        let numbered = NumberedChange { generation, change };
         self.peers.submitted(numbered);
     }
 
--- a/crates/hemlockhitch/src/node/configuration.rs
+++ b/crates/hemlockhitch/src/node/configuration.rs
@@ -1,10 +1,9 @@
 //! The configuration on its way from the store to the request path.
 
 use hemlockhitch_config::store::ConfigStore;
-use hemlockhitch_config::{Configuration, RoutingTable};
-use hemlockhitch_http::callers::Readiness;
+use hemlockhitch_config::{Configuration, NumberedChange, RoutingTable};
 use hemlockhitch_peer::ConfigurationFeed;
-use hemlockhitch_peer::feed::{ConfigurationSource, NumberedChange, SourceError};
+use hemlockhitch_peer::feed::{ConfigurationSource, SourceError};
 use hemlockhitch_platform::key_value::HttpKeyValue;
 use hemlockhitch_router::ViewFeed;
 
@@ -33,26 +32,19 @@
         wait_ms: u64,
     ) -> Result<Vec<NumberedChange>, SourceError> {
         let changes = self.store.changes_after(generation, wait_ms).await;
-        let changes = changes.map_err(|error| SourceError {
+        changes.map_err(|error| SourceError {
             detail: error.to_string(),
-        })?;
-        let numbered = changes.into_iter().map(|numbered| NumberedChange {
-            generation: numbered.generation,
-            change: numbered.change,
-        });
-        Ok(numbered.collect())
+        })
     }
 }
 
-/// Compiles each configuration that comes into force, and reports the node
-/// ready with the first one.
-pub(super) async fn follow(feed: ConfigurationFeed, views: &mut ViewFeed, readiness: &Readiness) {
+/// Compiles each configuration that comes into force.
+pub(super) async fn follow(feed: ConfigurationFeed, mut views: ViewFeed) {
     let mut configurations = feed.subscribe();
     loop {
         let configuration = configurations.borrow_and_update().clone();
         if configuration.generation > 0 {
             views.publish(RoutingTable::compile(&configuration));
-            readiness.set(true);
             tracing::info!(
                 event = "HH0906",
                 generation = configuration.generation,
--- a/crates/hemlockhitch/src/node/mod.rs
+++ b/crates/hemlockhitch/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod late_ledger;
 mod operators;
+mod ready;
 mod session_key;
 mod suspects;
 mod vms;
@@ -103,7 +104,7 @@
         );
         late.set(writer.clone());
         let session_key = session_key::load_or_create(&store).await;
-        let mut views = ViewFeed::new(settings.node.data_centre.as_str());
+        let views = ViewFeed::new(settings.node.data_centre.as_str());
         let router = Router::new(RouterParts {
             clock,
             engine: engine(&settings),
@@ -140,10 +141,13 @@
         )
         .await?;
         let metrics = serve(settings.listen.metrics, metrics_page::routes()).await?;
-        let feed = peers.feed();
-        let ready = readiness.clone();
-        let following =
-            tokio::spawn(async move { configuration::follow(feed, &mut views, &ready).await });
+        let following = tokio::spawn(configuration::follow(peers.feed(), views));
+        let becoming_ready = tokio::spawn(ready::report(
+            Arc::clone(&peers),
+            readiness.clone(),
+            shard_count(&settings),
+            clock,
+        ));
         Ok(Self {
             addresses: Addresses {
                 callers: callers.address(),
@@ -159,7 +163,7 @@
             callers,
             operators,
             metrics,
-            background: vec![following],
+            background: vec![following, becoming_ready],
         })
     }
 
--- /dev/null
+++ b/crates/hemlockhitch_standin/examples/demo/main.rs
@@ -0,0 +1,56 @@
+//! A whole deployment in one process: stand-ins, three nodes and a mixed load.
+//!
+//! Closes with a line that counts what must hold, and fails if any of it does
+//! not.
+
+mod deployment;
+mod load;
+mod report;
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use deployment::Deployment;
+use load::Load;
+use report::Report;
+
+/// The pause after each disturbance.
+const PAUSE: Duration = Duration::from_millis(800);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(report) => {
+            report.print();
+            if report.holds() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(error) => {
+            eprintln!("demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<Report, String> {
+    let mut deployment = Deployment::start().await?;
+    println!("demo: 3 nodes, 9 engines and 3 services run; the sheet is in force");
+    let load = Load::start(&deployment.caller_addresses());
+    sleep(PAUSE).await;
+    println!("demo: engine hitch-models-1 crashes");
+    deployment.crash_engine(0);
+    sleep(PAUSE).await;
+    println!("demo: data centre em-b is taken out");
+    deployment.take_out("em-b").await?;
+    let runs_before = deployment.runs_in_taken_out();
+    let outcomes = load.finish().await;
+    let runs_after = deployment.runs_in_taken_out();
+    let sums = deployment.stop().await?;
+    let report = Report::new(outcomes, &sums, &deployment);
+    Ok(report.runs_in_taken_out(runs_after - runs_before))
+}
