--- a/crates/hemlockhitch_ledger/src/lib.rs
+++ b/crates/hemlockhitch_ledger/src/lib.rs
@@ -6,10 +6,11 @@
 pub mod deferred;
 mod error;
 mod log;
-mod record;
+pub mod record;
 mod routed;
 mod settings;
 pub mod shard;
+mod snapshot;
 mod state;
 mod writer;
 
