--- a/crates/hemlockhitch_policy/src/lib.rs
+++ b/crates/hemlockhitch_policy/src/lib.rs
@@ -2,5 +2,6 @@
 //!
 //! The present time is an argument of every function that decides.
 
+pub mod bearing;
 pub mod endpoint;
 pub mod version;
