Lend warm slots in lots and limit endpoints by their bearing

A warm request used to cost one call to the owner. A node now gets up to four slots at once and uses them again until the grant ends or the endpoint turns cold; unused ones go back with the next renewal. The owner judges the endpoint by hemlockhitch_policy's Bearing and tells the holders at once when it turns cold.

Found by warm_lot_serves_many_requests_with_one_call: 84 calls for 100 requests, because a lot was given back when 16 reports waited; further reports are left out instead.

--- a/crates/hemlockhitch_peer/src/gen/hemlockhitch.peer.rs
+++ b/crates/hemlockhitch_peer/src/gen/hemlockhitch.peer.rs
@@ -193,6 +193,7 @@
     pub grant_id: u64,
     #[prost(string, tag = "2")]
     pub endpoint: ::prost::alloc::string::String,
+    /// Slots of the grant that are given back; the node may keep a slot of a lot.
     #[prost(uint32, tag = "3")]
     pub slots: u32,
     #[prost(enumeration = "Report", tag = "4")]
@@ -215,6 +216,9 @@
     /// Endpoints of the request that the called node does not own.
     #[prost(string, repeated, tag = "1")]
     pub not_owned: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Endpoints of the request that the owner takes for cold.
+    #[prost(string, repeated, tag = "2")]
+    pub cold: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HoldingsRequest {
--- a/crates/hemlockhitch_peer/src/peers/builder.rs
+++ b/crates/hemlockhitch_peer/src/peers/builder.rs
@@ -24,7 +24,7 @@
 use crate::ownership::{Keeper, Ownership, keep_lease};
 use crate::settings::PeerSettings;
 use crate::shared::Shared;
-use crate::slots::{GrantBook, Holder, PeerSlots, give_back, renew};
+use crate::slots::{GrantBook, Holder, PeerSlots, give_back, renew, watch_cold};
 use crate::traffic::Traffic;
 
 /// How many hand-overs may wait.
@@ -143,6 +143,8 @@
         };
         shared.spawn(keeper.run());
         shared.spawn(give_back(shared.clone(), ended_slots, clock.clone()));
+        let cold_notices = shared.notices.subscribe();
+        shared.spawn(watch_cold(shared.clone(), cold_notices));
         shared.spawn(renew(shared.clone(), clock.clone()));
         let confirming = confirm(shared.clone(), spread.clone(), to_confirm, clock.clone());
         shared.spawn(confirming);
--- a/crates/hemlockhitch_peer/src/slots/book.rs
+++ b/crates/hemlockhitch_peer/src/slots/book.rs
@@ -3,44 +3,17 @@
 use std::collections::HashMap;
 
 use hemlockhitch_model::{EndpointName, Now};
+use hemlockhitch_policy::bearing::{Bearing, SlotSign};
 
-use super::limit::Limit;
-use super::{SlotReport, SlotRequest};
+use super::{Grant, GrantAnswer, SlotRequest};
 use crate::member::NodeId;
 use crate::ownership::Bucket;
 
-/// Slots that a node holds at an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// The node that holds them.
-    pub node: NodeId,
-    /// Drawn by the node, so that a repeated request counts once.
-    pub grant_id: u64,
-    /// The endpoint.
-    pub endpoint: EndpointName,
-    /// How many.
-    pub slots: u32,
-    /// When the grant ends by itself, on the monotonic clock of whoever keeps it.
-    pub expires_mono_ms: u64,
-    /// Whether the node took them from its fixed share, without an owner.
-    pub share: bool,
-}
+/// The most slots of one lot.
+const MAX_LOT: u32 = 4;
 
-/// The owner's answer to a request for a slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum GrantAnswer {
-    /// The slots are granted.
-    Granted {
-        /// How many.
-        slots: u32,
-        /// Whether the owner takes the endpoint for warm.
-        warm: bool,
-    },
-    /// The endpoint bears no more.
-    Full,
-    /// The owner does not know yet what the former owner granted.
-    Closed,
-}
+/// A lot takes at most this part of the free slots, as a divisor.
+const LOT_DIVISOR: u32 = 4;
 
 /// The grants of one owner, by endpoint.
 #[derive(Debug)]
@@ -55,7 +28,8 @@
 #[derive(Debug, Default)]
 struct EndpointGrants {
     grants: HashMap<(NodeId, u64), Grant>,
-    limit: Limit,
+    /// Known once a slot was asked for.
+    bearing: Option<Bearing>,
 }
 
 impl GrantBook {
@@ -71,7 +45,8 @@
         }
     }
 
-    /// Grants a slot to a node; the same grant id counts once.
+    /// Grants a slot to a node, or a lot of slots while the endpoint is warm
+    /// and has many free; the same grant id counts once.
     pub fn grant(
         &mut self,
         node: NodeId,
@@ -83,42 +58,59 @@
             return GrantAnswer::Closed;
         }
         let expires_mono_ms = now.mono_ms + self.grant_ttl_ms;
-        let entry = self.endpoints.entry(request.endpoint.clone()).or_default();
+        let entry = self.entry(&request.endpoint);
         entry.drop_expired(now);
-        let repeated = entry.grants.contains_key(&(node, grant_id));
-        if !repeated && !entry.has_room(request) {
+        entry.set_limits(request);
+        let key = (node, grant_id);
+        let repeated = entry.grants.get(&key).map(|known| known.slots);
+        let slots = repeated.unwrap_or_else(|| entry.lot(request, now));
+        if slots == 0 {
             return GrantAnswer::Full;
         }
         let grant = Grant {
             node,
             grant_id,
             endpoint: request.endpoint.clone(),
-            slots: 1,
+            slots,
             expires_mono_ms,
             share: false,
         };
-        entry.grants.insert((node, grant_id), grant);
+        entry.grants.insert(key, grant);
         GrantAnswer::Granted {
-            slots: 1,
-            warm: entry.limit.is_warm(request),
+            slots,
+            warm: !entry.is_cold(now),
         }
     }
 
-    /// Ends a grant and takes in what its request showed.
-    pub fn release(
-        &mut self,
-        node: NodeId,
-        grant_id: u64,
-        endpoint: &EndpointName,
-        report: Option<SlotReport>,
-    ) {
+    /// Ends `slots` slots of a grant.
+    pub fn release(&mut self, node: NodeId, grant_id: u64, endpoint: &EndpointName, slots: u32) {
         let Some(entry) = self.endpoints.get_mut(endpoint) else {
             return;
         };
-        entry.grants.remove(&(node, grant_id));
-        if let Some(report) = report {
-            entry.limit.record(report);
+        let key = (node, grant_id);
+        if let Some(grant) = entry.grants.get_mut(&key) {
+            grant.slots = grant.slots.saturating_sub(slots);
+        }
+        entry.grants.retain(|_, grant| grant.slots > 0);
+    }
+
+    /// Takes in a sign of what an endpoint bears; returns whether the endpoint
+    /// turned cold by it.
+    pub fn observe(&mut self, endpoint: &EndpointName, sign: SlotSign, now: Now) -> bool {
+        let entry = self.entry(endpoint);
+        let was_cold = entry.is_cold(now);
+        if let Some(bearing) = &mut entry.bearing {
+            bearing.observe(sign, now);
         }
+        !was_cold && entry.is_cold(now)
+    }
+
+    /// Returns whether an endpoint counts as cold.
+    #[must_use]
+    pub fn is_cold(&self, endpoint: &EndpointName, now: Now) -> bool {
+        self.endpoints
+            .get(endpoint)
+            .is_none_or(|entry| entry.is_cold(now))
     }
 
     /// Takes in grants that their holders still use; they count even when they
@@ -127,7 +119,7 @@
         let longest_ms = now.mono_ms + self.grant_ttl_ms;
         for mut grant in grants {
             grant.expires_mono_ms = grant.expires_mono_ms.min(longest_ms);
-            let entry = self.endpoints.entry(grant.endpoint.clone()).or_default();
+            let entry = self.entry(&grant.endpoint);
             let key = (grant.node, grant.grant_id);
             let known_ms = entry
                 .grants
@@ -150,6 +142,20 @@
             .collect()
     }
 
+    /// Lists the nodes that hold slots of an endpoint.
+    #[must_use]
+    pub fn holders(&self, endpoint: &EndpointName) -> Vec<NodeId> {
+        let entry = self.endpoints.get(endpoint);
+        let mut nodes: Vec<NodeId> = entry
+            .into_iter()
+            .flat_map(|entry| entry.grants.keys())
+            .map(|(node, _)| *node)
+            .collect();
+        nodes.sort_unstable();
+        nodes.dedup();
+        nodes
+    }
+
     /// Starts a bucket afresh: it grants nothing until the grants of a former
     /// owner must have ended, or until [`GrantBook::open`].
     pub fn close(&mut self, bucket: Bucket, now: Now) {
@@ -184,20 +190,6 @@
         self.closed_until_ms.remove(&bucket);
     }
 
-    /// Returns how many slots of an endpoint are granted.
-    #[must_use]
-    pub fn in_use(&self, endpoint: &EndpointName, now: Now) -> u32 {
-        let Some(entry) = self.endpoints.get(endpoint) else {
-            return 0;
-        };
-        entry
-            .grants
-            .values()
-            .filter(|grant| grant.expires_mono_ms > now.mono_ms)
-            .map(|grant| grant.slots)
-            .sum()
-    }
-
     fn is_closed(&self, endpoint: &EndpointName, now: Now) -> bool {
         self.closed_for_ms(self.bucket_of(endpoint), now) > 0
     }
@@ -205,6 +197,10 @@
     fn bucket_of(&self, endpoint: &EndpointName) -> Bucket {
         Bucket::of_endpoint(endpoint, self.endpoint_buckets)
     }
+
+    fn entry(&mut self, endpoint: &EndpointName) -> &mut EndpointGrants {
+        self.endpoints.entry(endpoint.clone()).or_default()
+    }
 }
 
 impl EndpointGrants {
@@ -213,10 +209,37 @@
             .retain(|_, grant| grant.expires_mono_ms > now.mono_ms);
     }
 
-    fn has_room(&self, request: &SlotRequest) -> bool {
-        let owned = self.slots(|grant| !grant.share);
-        let total = self.slots(|_| true);
-        total < self.limit.get(request) && owned < request.owner_limit()
+    fn set_limits(&mut self, request: &SlotRequest) {
+        self.bearing
+            .get_or_insert_with(|| Bearing::new(request.cold_limit, request.warm_limit))
+            .set_limits(request.cold_limit, request.warm_limit);
+    }
+
+    fn is_cold(&self, now: Now) -> bool {
+        let bearing = self.bearing.as_ref();
+        bearing.is_none_or(|bearing| bearing.is_cold(now))
+    }
+
+    /// Returns how many slots one more grant may have.
+    fn lot(&self, request: &SlotRequest, now: Now) -> u32 {
+        let room = self.room(request, now);
+        if self.is_cold(now) {
+            return room.min(1);
+        }
+        let lot = (room / LOT_DIVISOR).clamp(1, MAX_LOT);
+        room.min(lot)
+    }
+
+    fn room(&self, request: &SlotRequest, now: Now) -> u32 {
+        let granted = self.slots(|grant| !grant.share);
+        let in_use = self.slots(|_| true);
+        let limit = self
+            .bearing
+            .as_ref()
+            .map_or(0, |bearing| bearing.limit(now));
+        let bearable = limit.saturating_sub(in_use);
+        let grantable = request.owner_limit().saturating_sub(granted);
+        bearable.min(grantable)
     }
 
     fn slots(&self, counts: impl Fn(&Grant) -> bool) -> u32 {
--- a/crates/hemlockhitch_peer/src/slots/codec.rs
+++ b/crates/hemlockhitch_peer/src/slots/codec.rs
@@ -1,6 +1,6 @@
 //! Conversion of grants to and from messages.
 
-use hemlockhitch_model::Now;
+use hemlockhitch_model::{EndpointName, Now};
 
 use super::{Grant, SlotReport};
 use crate::member::NodeId;
@@ -33,7 +33,8 @@
 /// Adds a report to the message that gives a slot back.
 pub(crate) fn release_to_wire(
     grant_id: u64,
-    endpoint: &str,
+    endpoint: &EndpointName,
+    slots: u32,
     report: Option<SlotReport>,
 ) -> wire::Release {
     let (report, first_token_ms) = match report {
@@ -44,8 +45,8 @@
     };
     wire::Release {
         grant_id,
-        endpoint: endpoint.to_owned(),
-        slots: 1,
+        endpoint: endpoint.to_string(),
+        slots,
         report: report.into(),
         first_token_ms,
     }
--- /dev/null
+++ b/crates/hemlockhitch_peer/src/slots/cold.rs
@@ -0,0 +1,65 @@
+//! Tells every holder of slots that an endpoint turned cold.
+
+use std::sync::Arc;
+
+use hemlockhitch_model::{EndpointName, Now};
+use tokio::sync::broadcast::Receiver;
+use tokio::sync::broadcast::error::RecvError;
+
+use crate::notice::{Notice, NoticeKind};
+use crate::shared::Shared;
+use crate::wire;
+
+/// For how long nodes use no lots of an endpoint that turned cold, in
+/// milliseconds.
+const COLD_NOTICE_MS: u64 = 10_000;
+
+/// Tells the nodes that hold slots of the endpoint at once, and all others by
+/// a notice.
+pub(crate) fn announce_cold(shared: &Arc<Shared>, endpoint: &EndpointName, now: Now) {
+    tracing::info!(event = "HH0611", %endpoint, "endpoint turned cold");
+    let notice = Notice {
+        kind: NoticeKind::Cold,
+        key: endpoint.to_string(),
+        value: String::new(),
+        expires_unix_ms: now.unix_ms + COLD_NOTICE_MS,
+    };
+    let request = wire::PostRequest {
+        notices: vec![notice.to_wire()],
+    };
+    for address in holder_addresses(shared, endpoint) {
+        let request = request.clone();
+        let sender = shared.clone();
+        shared.spawn(async move {
+            // A holder that is not reached learns with its next renewal.
+            let _ = sender.clients.post(&address, request).await;
+        });
+    }
+    if let Err(error) = shared.notices.post(notice, now) {
+        tracing::warn!(event = "HH0612", %endpoint, %error, "endpoint's name is too long");
+    }
+}
+
+fn holder_addresses(shared: &Shared, endpoint: &EndpointName) -> Vec<String> {
+    let holders = shared.book().holders(endpoint);
+    let members = shared.members();
+    holders
+        .into_iter()
+        .filter(|id| *id != shared.own_id)
+        .filter_map(|id| members.get(id))
+        .map(|member| member.identity.address.clone())
+        .collect()
+}
+
+/// Gives up the unused slots of endpoints that turn cold.
+pub(crate) async fn watch_cold(shared: Arc<Shared>, mut notices: Receiver<Notice>) {
+    loop {
+        match notices.recv().await {
+            Ok(notice) if notice.kind == NoticeKind::Cold => {
+                shared.holder().turn_cold(&notice.key.into());
+            }
+            Ok(_) | Err(RecvError::Lagged(_)) => {}
+            Err(RecvError::Closed) => return,
+        }
+    }
+}
--- a/crates/hemlockhitch_peer/src/slots/mod.rs
+++ b/crates/hemlockhitch_peer/src/slots/mod.rs
@@ -2,21 +2,28 @@
 
 mod book;
 mod codec;
+mod cold;
+mod grant;
 mod holder;
-mod limit;
+mod holdings;
 mod local;
 mod remote;
 mod settle;
+mod shares;
 
-pub use book::{Grant, GrantAnswer, GrantBook};
-pub(crate) use holder::Holder;
+pub use book::GrantBook;
+pub(crate) use cold::watch_cold;
+pub use grant::{Grant, GrantAnswer};
+pub use holder::{Ended, Holder, Renewal, ShareAnswer};
+pub(crate) use holdings::{holdings, learn_holdings};
 pub use local::{LocalSlots, SlotGuard};
 pub use remote::{PeerSlot, PeerSlots};
-pub(crate) use settle::{give_back, holdings, learn_holdings, renew, serve_settle};
+pub(crate) use settle::{give_back, renew, serve_settle};
 
 use std::future::Future;
 
 use hemlockhitch_model::{EndpointName, Now};
+use hemlockhitch_policy::bearing::SlotSign;
 use thiserror::Error;
 
 /// What a node asks of an endpoint's owner.
@@ -55,6 +62,16 @@
     Failed,
 }
 
+impl From<SlotReport> for SlotSign {
+    fn from(report: SlotReport) -> Self {
+        match report {
+            SlotReport::Served { first_token_ms } => Self::Served { first_token_ms },
+            SlotReport::Refused => Self::Refused,
+            SlotReport::Failed => Self::Failed,
+        }
+    }
+}
+
 /// A slot that is held; dropping it gives it back.
 pub trait Slot: Send + 'static {
     /// Gives the slot back with what the request showed.
--- a/crates/hemlockhitch_peer/src/slots/remote.rs
+++ b/crates/hemlockhitch_peer/src/slots/remote.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 
 use hemlockhitch_model::{EndpointName, Now};
+use hemlockhitch_policy::bearing::SlotSign;
 use tokio::sync::mpsc;
 
-use super::holder::ShareAnswer;
-use super::{GrantAnswer, Slot, SlotRefusal, SlotReport, SlotRequest, Slots};
+use super::cold::announce_cold;
+use super::{GrantAnswer, ShareAnswer, Slot, SlotRefusal, SlotReport, SlotRequest, Slots};
 use crate::hash::{combine, hash_text, rendezvous};
 use crate::member::Member;
+use crate::notice::NoticeKind;
 use crate::ownership::Owner;
 use crate::shared::Shared;
 use crate::wire;
@@ -16,6 +18,12 @@
 /// How many owners are asked for one slot before giving up.
 const OWNER_TRIES: usize = 2;
 
+/// The time of a slot that was dropped; it is not kept, so no time is needed.
+const NO_TIME: Now = Now {
+    mono_ms: 0,
+    unix_ms: 0,
+};
+
 /// Hands out slots of every endpoint; clones share them.
 #[derive(Clone, Debug)]
 pub struct PeerSlots {
@@ -28,6 +36,8 @@
 pub(crate) struct EndedSlot {
     pub(crate) grant_id: u64,
     pub(crate) endpoint: EndpointName,
+    /// Slots to give back.
+    pub(crate) slots: u32,
     pub(crate) report: Option<SlotReport>,
 }
 
@@ -37,7 +47,8 @@
     slots: PeerSlots,
     grant_id: u64,
     endpoint: EndpointName,
-    report: Option<SlotReport>,
+    finished: Option<(SlotReport, Now)>,
+    asked_for: bool,
 }
 
 /// What one owner said.
@@ -55,6 +66,18 @@
         Self { shared, ended }
     }
 
+    /// Takes in a sign of what an endpoint bears; only its owner heeds it.
+    /// Returns whether this node is the owner.
+    pub fn observe(&self, endpoint: &EndpointName, sign: SlotSign, now: Now) -> bool {
+        let observed = self
+            .shared
+            .as_owner(endpoint, now, |book| book.observe(endpoint, sign, now));
+        if observed == Some(true) {
+            announce_cold(&self.shared, endpoint, now);
+        }
+        observed.is_some()
+    }
+
     async fn ask(&self, request: &SlotRequest, grant_id: u64, now: Now) -> Asked {
         let bucket = self.shared.ownership.endpoint_bucket(&request.endpoint);
         match self.shared.ownership.owner(bucket, now) {
@@ -70,8 +93,8 @@
             book.grant(own_id, grant_id, request, now)
         });
         match answer {
-            Some(GrantAnswer::Granted { warm, .. }) => {
-                self.accept(request, grant_id, warm, now);
+            Some(GrantAnswer::Granted { slots, warm }) => {
+                self.accept(request, grant_id, slots, warm, now);
                 Asked::Granted
             }
             Some(GrantAnswer::Full) => Asked::Full,
@@ -98,7 +121,7 @@
         };
         match reply.answer() {
             wire::GrantAnswer::Granted => {
-                self.accept(request, grant_id, reply.warm, now);
+                self.accept(request, grant_id, reply.slots.max(1), reply.warm, now);
                 Asked::Granted
             }
             wire::GrantAnswer::Full => Asked::Full,
@@ -112,10 +135,20 @@
         }
     }
 
-    fn accept(&self, request: &SlotRequest, grant_id: u64, warm: bool, now: Now) {
+    /// Keeps granted slots; they end as counted from before they were asked for.
+    fn accept(&self, request: &SlotRequest, grant_id: u64, slots: u32, warm: bool, asked: Now) {
+        let endpoint = &request.endpoint;
+        let expires_ms = asked.mono_ms + self.shared.settings.grant_ttl_ms;
+        let cold = self
+            .shared
+            .notices
+            .get(NoticeKind::Cold, endpoint.as_str(), asked);
         let mut holder = self.shared.holder();
-        holder.add(&request.endpoint, grant_id);
-        holder.mark_warm(&request.endpoint, warm, now);
+        holder.add(endpoint, grant_id, slots, expires_ms);
+        holder.mark_warm(endpoint, warm, asked);
+        if cold.is_some() {
+            holder.turn_cold(endpoint);
+        }
     }
 
     /// Takes a slot of the share that this node has without an owner's word.
@@ -150,12 +183,13 @@
         u32::try_from(own.count()).unwrap_or_default()
     }
 
-    fn slot(&self, request: SlotRequest, grant_id: u64) -> PeerSlot {
+    fn slot(&self, request: SlotRequest, grant_id: u64, asked_for: bool) -> PeerSlot {
         PeerSlot {
             slots: self.clone(),
             grant_id,
             endpoint: request.endpoint,
-            report: None,
+            finished: None,
+            asked_for,
         }
     }
 }
@@ -164,40 +198,62 @@
     type Slot = PeerSlot;
 
     async fn acquire(&self, request: SlotRequest, now: Now) -> Result<PeerSlot, SlotRefusal> {
-        let grant_id = fastrand::u64(..);
+        let free = self.shared.holder().take_free(&request.endpoint, now);
+        if let Some(grant_id) = free {
+            return Ok(self.slot(request, grant_id, false));
+        }
+        let grant_id = fastrand::u64(1..);
         for _ in 0..OWNER_TRIES {
             match self.ask(&request, grant_id, now).await {
-                Asked::Granted => return Ok(self.slot(request, grant_id)),
+                Asked::Granted => return Ok(self.slot(request, grant_id, true)),
                 Asked::Full => return Err(SlotRefusal::Full),
                 Asked::Unclear => break,
                 Asked::Elsewhere => {}
             }
         }
         self.take_share(&request, grant_id, now)?;
-        Ok(self.slot(request, grant_id))
+        Ok(self.slot(request, grant_id, true))
+    }
+}
+
+impl PeerSlot {
+    /// Returns whether the slot was asked for, rather than used again.
+    #[must_use]
+    pub fn was_asked_for(&self) -> bool {
+        self.asked_for
     }
 }
 
 impl Slot for PeerSlot {
     fn finish(mut self, report: SlotReport, now: Now) {
-        self.report = Some(report);
-        let served = matches!(report, SlotReport::Served { .. });
+        self.finished = Some((report, now));
         let mut holder = self.slots.shared.holder();
-        let was_warm = holder.is_warm(&self.endpoint, now);
-        if !served || was_warm {
-            holder.mark_warm(&self.endpoint, served, now);
+        match report {
+            SlotReport::Served { .. } => {
+                if holder.is_warm(&self.endpoint, now) {
+                    holder.mark_warm(&self.endpoint, true, now);
+                }
+            }
+            SlotReport::Refused | SlotReport::Failed => holder.turn_cold(&self.endpoint),
         }
     }
 }
 
 impl Drop for PeerSlot {
     fn drop(&mut self) {
+        let report = self.finished.map(|(report, _)| report);
+        let now = self.finished.map_or(NO_TIME, |(_, now)| now);
         let mut holder = self.slots.shared.holder();
-        holder.remove(&self.endpoint, self.grant_id);
+        let ended = holder.end(&self.endpoint, self.grant_id, report, now);
+        drop(holder);
+        if ended.slots == 0 && ended.report_kept {
+            return;
+        }
         let ended = EndedSlot {
             grant_id: self.grant_id,
             endpoint: self.endpoint.clone(),
-            report: self.report,
+            slots: ended.slots,
+            report: report.filter(|_| !ended.report_kept),
         };
         // A node that has stopped tells nobody; its grants end by themselves.
         let _ = self.slots.ended.send(ended);
