Prove lots, and keep the slots tests clear of the endpoint's pauses

long_requests_stay_counted_by_every_next_owner failed once in six runs with "nothing granted": its requests ended with a failure now and then, which lets Bearing fall below the cold limit and pause the endpoint for up to 16 s. Ruled out: the owner's count and the hand-over. The load now reports served requests; an endpoint without reports stays cold for 30 s, longer than any of these tests.

--- a/crates/hemlockhitch_peer/tests/slots.rs
+++ b/crates/hemlockhitch_peer/tests/slots.rs
@@ -36,13 +36,15 @@
 }
 
 impl<'a> Load<'a> {
+    /// Load on an endpoint that reports nothing, and so counts as cold for the
+    /// length of any test here.
     fn cold(platform: &'a Platform) -> Self {
         Self {
             platform,
             held: Vec::new(),
             refusals: Vec::new(),
             limit: COLD_LIMIT,
-            report: SlotReport::Failed,
+            report: SlotReport::Served { first_token_ms: 10 },
             steps: 0,
             ends: true,
         }
@@ -190,7 +192,6 @@
 fn warm<'a>(platform: &'a Platform) -> Load<'a> {
     Load {
         limit: WARM_LIMIT,
-        report: SlotReport::Served { first_token_ms: 10 },
         ..Load::cold(platform)
     }
 }
@@ -249,9 +250,11 @@
     let mut load = warm(&platform);
     load.until_granted(&fleet).await;
     warm_up(&fleet, &platform);
-    for _ in 0..3 {
-        load.step(&fleet).await;
-    }
+    load.held.clear();
+    load.ends = false;
+    load.step(&fleet).await;
+    // Nodes have lots with unused slots.
+    assert_eq!(load.held.len(), fleet.len());
     let (_, slot) = load.held.pop().unwrap();
     slot.finish(SlotReport::Failed, platform.clock.now());
     let notices: Vec<_> = fleet.iter().map(Peers::notices).collect();
@@ -262,11 +265,11 @@
             .all(|n| n.get(NoticeKind::Cold, "e-1", now).is_some())
     })
     .await;
+    load.limit = COLD_LIMIT;
+    load.run(&fleet, Duration::from_millis(300)).await;
     for (_, slot) in load.held.drain(..) {
         let now = platform.clock.now();
         slot.finish(SlotReport::Served { first_token_ms: 10 }, now);
     }
-    load.limit = COLD_LIMIT;
-    load.ends = false;
     load.run(&fleet, Duration::from_secs(1)).await;
 }
