Exchange with slowly changing partners and measure control

A node called random peers of the whole fleet, so that connections to all of them would stay open or be made anew.

--- a/crates/hemlockhitch_peer/src/client.rs
+++ b/crates/hemlockhitch_peer/src/client.rs
@@ -14,7 +14,7 @@
 use crate::wire::peer_client::PeerClient;
 
 /// The most connections that are kept open.
-const MAX_CONNECTIONS: usize = 64;
+const MAX_CONNECTIONS: usize = 32;
 
 /// The largest answer that a call takes, in bytes.
 pub(crate) const MAX_ANSWER_BYTES: usize = 32 << 20;
--- a/crates/hemlockhitch_peer/src/exchange/mod.rs
+++ b/crates/hemlockhitch_peer/src/exchange/mod.rs
@@ -1,9 +1,12 @@
 //! Exchange of bounded samples of what nodes know.
 
 mod message;
+mod partners;
 
 pub(crate) use message::{Absorbed, absorb, check, compose};
 
+use partners::Partners;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,10 +33,14 @@
 
 /// Exchanges with a few peers in every interval.
 pub(crate) async fn run<C: Clock>(shared: Arc<Shared>, spread: Spread, clock: C) {
+    let mut partners = Partners::default();
     loop {
         let now = clock.now();
-        shared.members().tick(now);
-        let targets = shared.members().targets(shared.settings.exchange_fanout);
+        let targets = {
+            let mut members = shared.members();
+            members.tick(now);
+            partners.choose(&members, shared.settings.exchange_fanout)
+        };
         for (id, address) in targets {
             let calling = call(shared.clone(), spread.clone(), id, address, clock.clone());
             shared.spawn(calling);
--- a/crates/hemlockhitch_peer/src/member/table.rs
+++ b/crates/hemlockhitch_peer/src/member/table.rs
@@ -212,21 +212,38 @@
         row.member.status
     }
 
-    /// Chooses up to `count` members to call: live ones, those that only the VM
-    /// list names, and now and then a dead one that the VM list still names.
+    /// Chooses up to `count` members to call.
     pub(crate) fn targets(&self, count: usize) -> Vec<(NodeId, String)> {
-        let mut others: Vec<&Member> = self
-            .iter()
-            .filter(|member| member.id() != self.own_id && member.is_callable())
-            .collect();
-        fastrand::shuffle(&mut others);
-        others
-            .into_iter()
+        let mut ids = self.callable();
+        fastrand::shuffle(&mut ids);
+        ids.into_iter()
             .take(count)
+            .filter_map(|id| self.get(id))
             .map(|member| (member.id(), member.identity.address.clone()))
             .collect()
     }
 
+    /// Lists the members to call: live ones and those that only the VM list
+    /// names.
+    pub(crate) fn callable(&self) -> Vec<NodeId> {
+        self.rows
+            .iter()
+            .filter(|(id, row)| **id != self.own_id && row.member.is_callable())
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// Chooses a dead member that the VM list still names.
+    pub(crate) fn random_dead(&self) -> Option<NodeId> {
+        let dead: Vec<NodeId> = self
+            .rows
+            .iter()
+            .filter(|(_, row)| row.member.is_silent())
+            .map(|(id, _)| *id)
+            .collect();
+        fastrand::choice(dead)
+    }
+
     /// Chooses up to `count` live members that have an older generation.
     pub(crate) fn lagging(&self, generation: u64, count: usize) -> Vec<(NodeId, String)> {
         let mut lagging: Vec<&Member> = self
@@ -348,9 +365,6 @@
 }
 
 impl Member {
-    /// One call in this many goes to a dead member, to find that it is back.
-    const DEAD_CALLS: u32 = 8;
-
     /// Whether the node fell silent while the VM list still names it.
     fn is_silent(&self) -> bool {
         self.listed
@@ -362,11 +376,7 @@
     fn is_callable(&self) -> bool {
         match self.status {
             None => self.listed,
-            Some(status) if status.state == MemberState::Gone => false,
-            Some(status) if status.health == Health::Dead => {
-                self.listed && fastrand::u32(..Self::DEAD_CALLS) == 0
-            }
-            Some(_) => true,
+            Some(_) => self.is_live(),
         }
     }
 }
--- a/crates/hemlockhitch_peer/src/peers/listen.rs
+++ b/crates/hemlockhitch_peer/src/peers/listen.rs
@@ -8,9 +8,10 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
 use hyper_util::service::TowerToHyperService;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use super::counted::Counted;
 use super::server::PeerService;
 use crate::shared::Shared;
 use crate::wire::peer_server::PeerServer;
@@ -33,7 +34,12 @@
     let server = PeerServer::new(service).max_decoding_message_size(MAX_REQUEST_BYTES);
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => shared.spawn(serve_connection(stream, server.clone())),
+            Ok((stream, _)) => {
+                // Without it the connection works, with a little more delay.
+                let _ = stream.set_nodelay(true);
+                let counted = Counted::new(stream, shared.traffic.clone());
+                shared.spawn(serve_connection(counted, server.clone()));
+            }
             Err(error) => {
                 tracing::warn!(event = "HH0609", %error, "connection not accepted");
                 sleep(ACCEPT_RETRY).await;
@@ -43,11 +49,9 @@
 }
 
 async fn serve_connection<L: LedgerService, C: Clock>(
-    stream: TcpStream,
+    stream: Counted,
     server: PeerServer<PeerService<L, C>>,
 ) {
-    // Without it the connection works, with a little more delay.
-    let _ = stream.set_nodelay(true);
     let mut builder = auto::Builder::new(TokioExecutor::new()).http2_only();
     builder
         .http2()
--- a/crates/hemlockhitch_peer/src/peers/mod.rs
+++ b/crates/hemlockhitch_peer/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! The peer protocol of one node.
 
 mod builder;
+mod counted;
 mod listen;
 mod server;
 
--- a/crates/hemlockhitch_peer/src/slots/book.rs
+++ b/crates/hemlockhitch_peer/src/slots/book.rs
@@ -13,7 +13,7 @@
 const MAX_LOT: u32 = 4;
 
 /// A lot takes at most this part of the free slots, as a divisor.
-const LOT_DIVISOR: u32 = 4;
+const LOT_DIVISOR: u32 = 2;
 
 /// The grants of one owner, by endpoint.
 #[derive(Debug)]
--- a/crates/hemlockhitch_peer/src/traffic.rs
+++ b/crates/hemlockhitch_peer/src/traffic.rs
@@ -8,7 +8,8 @@
 /// Bytes of the frame around one message.
 const FRAME_BYTES: usize = 5;
 
-/// Messages and bytes between this node and its peers, without HTTP/2 headers.
+/// Messages and bytes between this node and its peers; where not said
+/// otherwise, without HTTP/2 headers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ControlBytes {
     /// Messages sent.
@@ -19,6 +20,9 @@
     pub received_messages: u64,
     /// Bytes received.
     pub received_bytes: u64,
+    /// Bytes in both directions on connections that peers opened, with all
+    /// framing.
+    pub accepted_bytes: u64,
     /// Size of the largest exchange message sent, in bytes.
     pub largest_digest_bytes: u64,
 }
@@ -35,6 +39,7 @@
     sent_bytes: AtomicU64,
     received_messages: AtomicU64,
     received_bytes: AtomicU64,
+    accepted_bytes: AtomicU64,
     largest_digest_bytes: AtomicU64,
 }
 
@@ -55,6 +60,13 @@
             .fetch_add(bytes, Ordering::Relaxed);
     }
 
+    pub(crate) fn accepted_bytes(&self, count: usize) {
+        let count = count as u64;
+        self.counts
+            .accepted_bytes
+            .fetch_add(count, Ordering::Relaxed);
+    }
+
     pub(crate) fn digest(&self, message: &impl Message) {
         let bytes = framed_bytes(message);
         self.counts
@@ -68,6 +80,7 @@
             sent_bytes: self.counts.sent_bytes.load(Ordering::Relaxed),
             received_messages: self.counts.received_messages.load(Ordering::Relaxed),
             received_bytes: self.counts.received_bytes.load(Ordering::Relaxed),
+            accepted_bytes: self.counts.accepted_bytes.load(Ordering::Relaxed),
             largest_digest_bytes: self.counts.largest_digest_bytes.load(Ordering::Relaxed),
         }
     }
--- a/crates/hemlockhitch_peer/tests/support/mod.rs
+++ b/crates/hemlockhitch_peer/tests/support/mod.rs
@@ -19,7 +19,8 @@
     SwapOutcome, WatchBatch,
 };
 use hemlockhitch_platform::vm_list::{Vm, VmList, VmListError};
-use tokio::time::{Instant, sleep};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Bound of every wait of a test.
 const WAIT_BOUND: Duration = Duration::from_secs(10);
@@ -56,15 +57,34 @@
 }
 
 /// The platform and what the nodes of a fleet have in common.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Platform {
+    pub settings: PeerSettings,
     pub clock: SystemClock,
     pub store: FaultyStore,
     pub vms: Vms,
     pub source: Changes,
 }
 
+impl Default for Platform {
+    fn default() -> Self {
+        Self {
+            settings: settings(),
+            clock: SystemClock::new(),
+            store: FaultyStore::default(),
+            vms: Vms::default(),
+            source: Changes::default(),
+        }
+    }
+}
+
 impl Platform {
+    /// Calls of any kind that the store has answered or refused.
+    pub fn store_calls(&self) -> u64 {
+        let configuration = self.source.reads.load(Ordering::SeqCst);
+        self.store.calls.load(Ordering::SeqCst) + configuration
+    }
+
     /// Cuts every node off from the store, or ends the cut.
     pub fn store_down(&self, down: bool) {
         self.store.down.store(down, Ordering::SeqCst);
@@ -73,20 +93,20 @@
 
     /// Starts a node and puts it on the VM list.
     pub async fn start(&self, name: &str) -> Peers {
-        let peers = self.start_unlisted(name, "dc-a").await;
-        self.vms.add(name, peers.address());
-        peers
+        self.start_in(name, "dc-a").await
     }
 
-    pub async fn start_unlisted(&self, name: &str, data_centre: &str) -> Peers {
-        self.start_with(name, data_centre, self.clock).await
+    pub async fn start_in(&self, name: &str, data_centre: &str) -> Peers {
+        let peers = self.start_with(name, data_centre, self.clock).await;
+        self.vms.add(name, peers.address(), data_centre);
+        peers
     }
 
     pub async fn start_with(&self, name: &str, data_centre: &str, clock: impl Clock) -> Peers {
         Peers::builder()
             .node(name)
             .data_centre(data_centre)
-            .settings(settings())
+            .settings(self.settings)
             .start(
                 self.store.clone(),
                 self.vms.clone(),
@@ -131,11 +151,11 @@
 }
 
 impl Vms {
-    pub fn add(&self, name: &str, address: &str) {
+    pub fn add(&self, name: &str, address: &str, data_centre: &str) {
         let vm = Vm {
             name: name.into(),
             peer_address: address.to_owned(),
-            data_centre: "dc-a".into(),
+            data_centre: data_centre.into(),
             leaving: false,
         };
         self.vms.lock().unwrap().insert(name.to_owned(), vm);
@@ -167,6 +187,7 @@
     pub down: Arc<AtomicBool>,
     pub reads: Arc<AtomicU64>,
     down_since: Arc<Mutex<Option<Instant>>>,
+    accepted: Arc<Notify>,
 }
 
 impl Changes {
@@ -188,6 +209,7 @@
         let generation = changes.len() as u64 + 1;
         let change = change(generation);
         changes.push(change.clone());
+        self.accepted.notify_waiters();
         NumberedChange { generation, change }
     }
 
@@ -226,11 +248,15 @@
         wait_ms: u64,
     ) -> Result<Vec<NumberedChange>, SourceError> {
         self.check()?;
-        let deadline = Instant::now() + Duration::from_millis(wait_ms);
-        while self.after(generation).is_empty() && Instant::now() < deadline {
-            sleep(Duration::from_millis(10)).await;
+        let accepted = self.accepted.notified();
+        if self.after(generation).is_empty() {
+            // The wait ends by a change or by its time.
+            let _ = timeout(Duration::from_millis(wait_ms), accepted).await;
+        }
+        if self.down.load(Ordering::SeqCst) {
+            let detail = "down".to_owned();
+            return Err(SourceError { detail });
         }
-        self.check()?;
         Ok(self.after(generation))
     }
 }
