--- a/crates/hemlockhitch_peer/src/client.rs
+++ b/crates/hemlockhitch_peer/src/client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use prost::Message;
+use tokio::time::{Instant, timeout};
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Request, Response, Status};
 
@@ -26,13 +27,12 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PeerClients {
     channels: Arc<Mutex<HashMap<String, Channel>>>,
-    timeout: Duration,
+    bounds: CallBounds,
     traffic: Traffic,
 }
 
 macro_rules! call {
-    ($(#[$doc:meta])* $method:ident($request:ident) -> $reply:ident) => {
-        $(#[$doc])*
+    ($method:ident($request:ident) -> $reply:ident, $bound:ident) => {
         pub(crate) async fn $method(
             &self,
             address: &str,
@@ -40,32 +40,44 @@
         ) -> Result<wire::$reply, PeerError> {
             self.traffic.sent(&request);
             let mut client = self.client(address)?;
-            let answer = client.$method(Request::new(request)).await;
+            let call = client.$method(Request::new(request));
+            let answer = within(self.bounds.$bound, call).await;
             self.finish(address, answer)
         }
     };
 }
 
+/// Bounds of calls.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallBounds {
+    /// Of most calls.
+    pub(crate) short: Duration,
+    /// Of a call on the path of a request.
+    pub(crate) slot: Duration,
+    /// Of a call that waits for the store or carries much.
+    pub(crate) long: Duration,
+}
+
 impl PeerClients {
-    pub(crate) fn new(timeout_ms: u64, traffic: Traffic) -> Self {
+    pub(crate) fn new(bounds: CallBounds, traffic: Traffic) -> Self {
         Self {
             channels: Arc::default(),
-            timeout: Duration::from_millis(timeout_ms),
+            bounds,
             traffic,
         }
     }
 
-    call!(exchange(Digest) -> Digest);
-    call!(describe(DescribeRequest) -> DescribeReply);
-    call!(push(PushRequest) -> PushReply);
-    call!(fetch(FetchRequest) -> FetchReply);
-    call!(post(PostRequest) -> PostReply);
-    call!(owners(OwnersRequest) -> OwnersReply);
-    call!(hand_over(HandOverRequest) -> HandOverReply);
-    call!(grant(GrantRequest) -> GrantReply);
-    call!(settle(SettleRequest) -> SettleReply);
-    call!(holdings(HoldingsRequest) -> HoldingsReply);
-    call!(ledger(LedgerRequest) -> LedgerReply);
+    call!(exchange(Digest) -> Digest, short);
+    call!(describe(DescribeRequest) -> DescribeReply, short);
+    call!(push(PushRequest) -> PushReply, short);
+    call!(fetch(FetchRequest) -> FetchReply, long);
+    call!(post(PostRequest) -> PostReply, short);
+    call!(owners(OwnersRequest) -> OwnersReply, short);
+    call!(hand_over(HandOverRequest) -> HandOverReply, long);
+    call!(grant(GrantRequest) -> GrantReply, slot);
+    call!(settle(SettleRequest) -> SettleReply, short);
+    call!(holdings(HoldingsRequest) -> HoldingsReply, short);
+    call!(ledger(LedgerRequest) -> LedgerReply, long);
 
     fn client(&self, address: &str) -> Result<PeerClient<Channel>, PeerError> {
         let channel = self.channel(address)?;
@@ -90,8 +102,7 @@
             PeerError::new(PeerErrorKind::BadMessage, format!("{address:?}: {error}"))
         })?;
         Ok(endpoint
-            .connect_timeout(self.timeout)
-            .timeout(self.timeout)
+            .connect_timeout(self.bounds.short)
             .initial_connection_window_size(WINDOW_BYTES)
             .initial_stream_window_size(WINDOW_BYTES)
             .tcp_nodelay(true)
@@ -125,6 +136,19 @@
     }
 }
 
+/// Waits for an answer. An answer that was read after the bound, by a process
+/// that was paused, counts as none.
+async fn within<T>(
+    bound: Duration,
+    call: impl Future<Output = Result<Response<T>, Status>>,
+) -> Result<Response<T>, Status> {
+    let asked = Instant::now();
+    match timeout(bound, call).await {
+        Ok(answer) if asked.elapsed() <= bound => answer,
+        Ok(_) | Err(_) => Err(Status::deadline_exceeded("no answer in time")),
+    }
+}
+
 fn evict_one(channels: &mut HashMap<String, Channel>) {
     let victim = channels.keys().next().cloned();
     if let Some(address) = victim {
--- a/crates/hemlockhitch_peer/src/peers/builder.rs
+++ b/crates/hemlockhitch_peer/src/peers/builder.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use hemlockhitch_ledger::call::LedgerService;
 use hemlockhitch_model::{Clock, DataCentreName, NodeName};
@@ -14,7 +15,7 @@
 use super::listen::serve;
 use super::server::PeerService;
 use super::{DrainRequest, Peers, confirm, drain};
-use crate::client::PeerClients;
+use crate::client::{CallBounds, PeerClients};
 use crate::error::{PeerError, PeerErrorKind};
 use crate::exchange;
 use crate::feed::{ConfigurationFeed, ConfigurationSource, Spread, follow_store};
@@ -189,7 +190,7 @@
             members,
             feed: ConfigurationFeed::new(),
             contact: Contact::default(),
-            clients: PeerClients::new(settings.call_timeout_ms, traffic.clone()),
+            clients: PeerClients::new(call_bounds(&settings), traffic.clone()),
             traffic,
             notices,
             book: Mutex::new(book),
@@ -200,3 +201,11 @@
         }
     }
 }
+
+fn call_bounds(settings: &PeerSettings) -> CallBounds {
+    CallBounds {
+        short: Duration::from_millis(settings.call_timeout_ms),
+        slot: Duration::from_millis(settings.slot_timeout_ms),
+        long: Duration::from_millis(settings.long_timeout_ms),
+    }
+}
--- a/crates/hemlockhitch_peer/src/settings.rs
+++ b/crates/hemlockhitch_peer/src/settings.rs
@@ -11,6 +11,11 @@
     pub exchange_fanout: usize,
     /// Bound of one call to a peer, in milliseconds.
     pub call_timeout_ms: u64,
+    /// Bound of one call for a slot, which a request waits for, in milliseconds.
+    pub slot_timeout_ms: u64,
+    /// Bound of one call to a peer that waits for the store or carries much, in
+    /// milliseconds.
+    pub long_timeout_ms: u64,
     /// How long a suspected member has to refute, in milliseconds.
     pub suspicion_ms: u64,
     /// Silence after which a node takes no new work, in milliseconds.
@@ -48,6 +53,8 @@
             exchange_interval_ms: 1_000,
             exchange_fanout: 3,
             call_timeout_ms: 1_000,
+            slot_timeout_ms: 250,
+            long_timeout_ms: 5_000,
             suspicion_ms: 3_500,
             self_stop_ms: 3_000,
             watchers: 2,
@@ -86,8 +93,8 @@
             "lease_ttl_ms must exceed lease_margin_ms and lease_renew_ms together",
         )?;
         require(
-            self.lease_margin_ms >= self.call_timeout_ms,
-            "lease_margin_ms must not be below call_timeout_ms",
+            self.lease_margin_ms >= self.slot_timeout_ms,
+            "lease_margin_ms must not be below slot_timeout_ms",
         )?;
         require(
             self.grant_ttl_ms > self.grant_renew_ms + self.call_timeout_ms,
--- a/crates/hemlockhitch_peer/src/slots/remote.rs
+++ b/crates/hemlockhitch_peer/src/slots/remote.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use hemlockhitch_model::{EndpointName, Now};
+use hemlockhitch_model::{EndpointName, NodeName, Now};
 use hemlockhitch_policy::bearing::SlotSign;
 use tokio::sync::mpsc;
 
 use super::cold::announce_cold;
 use super::{GrantAnswer, ShareAnswer, Slot, SlotRefusal, SlotReport, SlotRequest, Slots};
 use crate::hash::{combine, hash_text, rendezvous};
-use crate::member::Member;
+use crate::member::{Member, NodeId};
 use crate::notice::NoticeKind;
 use crate::ownership::Owner;
 use crate::shared::Shared;
@@ -82,11 +82,19 @@
         let bucket = self.shared.ownership.endpoint_bucket(&request.endpoint);
         match self.shared.ownership.owner(bucket, now) {
             Owner::Here { .. } => self.ask_own_book(request, grant_id, now),
-            Owner::At { address, .. } => self.ask_owner(&address, request, grant_id, now).await,
-            Owner::Nobody => Asked::Unclear,
+            // A request does not wait for an owner that peers cannot reach.
+            Owner::At { node, address } if self.is_alive(&node) => {
+                self.ask_owner(&address, request, grant_id, now).await
+            }
+            Owner::At { .. } | Owner::Nobody => Asked::Unclear,
         }
     }
 
+    fn is_alive(&self, node: &NodeName) -> bool {
+        let members = self.shared.members();
+        members.get(NodeId::of(node)).is_some_and(Member::is_alive)
+    }
+
     fn ask_own_book(&self, request: &SlotRequest, grant_id: u64, now: Now) -> Asked {
         let own_id = self.shared.own_id;
         let answer = self.shared.as_owner(&request.endpoint, now, |book| {
--- a/crates/hemlockhitch_peer/tests/support/mod.rs
+++ b/crates/hemlockhitch_peer/tests/support/mod.rs
@@ -30,6 +30,8 @@
     PeerSettings {
         exchange_interval_ms: 100,
         call_timeout_ms: 500,
+        slot_timeout_ms: 500,
+        long_timeout_ms: 1_500,
         suspicion_ms: 1_500,
         self_stop_ms: 1_500,
         vm_list_interval_ms: 100,
