Test the operators' command line against faults of a node

A roll-out that is held or was stopped by the guard can no longer be finished, as that gave a version under suspicion the whole share; it must be resumed first.

--- a/crates/hemlockhitch_ctl/src/command/roll_out.rs
+++ b/crates/hemlockhitch_ctl/src/command/roll_out.rs
@@ -80,6 +80,12 @@
 
 /// Gives the new version the joint share of both, wherever both are allowed.
 fn finish(configuration: &Configuration, row: &RollOut) -> Result<Vec<RowEdit>, CtlError> {
+    if row.state != RollOutState::Running {
+        return Err(CtlError::bad_input(format!(
+            "the roll-out of {} is not running; resume it before it is finished",
+            row.to
+        )));
+    }
     let Row::Version(version) = find(configuration, RowKind::Version, row.to.as_str())? else {
         return Ok(Vec::new());
     };
--- /dev/null
+++ b/crates/hemlockhitch_ctl/tests/support/mod.rs
@@ -0,0 +1,286 @@
+//! A node's administration API with faults on demand.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use hemlockhitch_config::admin::{
+    AdminError, AdminErrorCode, ChangeAnswer, DeferredState, DeferredStatus, EndpointState,
+    EndpointStatus, Explanation, ExplanationStep, NodeState, NodeStatus, Progress, Stage, Status,
+    StoppedRollOut,
+};
+use hemlockhitch_config::{Change, ConfigStore, Configuration, Submission};
+use hemlockhitch_ctl::{Environment, run};
+use hemlockhitch_model::{Class, Now, RequestId};
+use hemlockhitch_platform::key_value::MemoryKeyValue;
+use hemlockhitch_standin::server::{Handled, Server, json_answer, read_body};
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+
+/// The token that the node takes.
+pub const TOKEN: &str = "sample-operator";
+
+/// What happens to one change that is sent.
+#[derive(Clone, Copy, Debug)]
+pub enum ChangeFault {
+    /// It is written, the connection breaks.
+    AnswerLost,
+    /// The node's own answer from the store was lost; nothing was written.
+    OutcomeUnknown,
+    /// The store is down.
+    StoreDown,
+}
+
+/// A running node.
+pub struct Node {
+    server: Server,
+    pub state: NodeHandle,
+}
+
+/// What a test reads and sets.
+#[derive(Clone)]
+pub struct NodeHandle {
+    pub store: ConfigStore<MemoryKeyValue>,
+    shared: Arc<Mutex<Shared>>,
+}
+
+#[derive(Default)]
+struct Shared {
+    faults: VecDeque<ChangeFault>,
+    progress: VecDeque<Progress>,
+    stale: Option<Configuration>,
+}
+
+/// The outcome of one run of the command line.
+pub struct Ran {
+    pub code: u8,
+    pub out: String,
+    pub err: String,
+}
+
+impl Node {
+    pub async fn start() -> Self {
+        let state = NodeHandle {
+            store: ConfigStore::new(MemoryKeyValue::new()),
+            shared: Arc::default(),
+        };
+        let handle = state.clone();
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let handler = move |request| {
+            let handle = handle.clone();
+            async move { handle.answer(request).await }
+        };
+        let server = Server::start(address, handler).await.expect("a free port");
+        Self { server, state }
+    }
+
+    pub fn address(&self) -> String {
+        self.server.address().to_string()
+    }
+
+    /// Runs a command against the node.
+    pub async fn run(&self, line: &str) -> Ran {
+        let node = self.address();
+        let mut words = vec!["--node", &node];
+        words.extend(line.split_whitespace());
+        run_with_token(&words, Some(TOKEN)).await
+    }
+}
+
+/// Runs a command.
+pub async fn run_with_token(words: &[&str], token: Option<&str>) -> Ran {
+    let environment = Environment {
+        token: token.map(str::to_owned),
+    };
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let exit = run(words.iter().copied(), environment, &mut out, &mut err).await;
+    Ran {
+        code: exit.code(),
+        out: String::from_utf8(out).expect("text"),
+        err: String::from_utf8(err).expect("text"),
+    }
+}
+
+impl NodeHandle {
+    pub fn script_faults(&self, faults: impl IntoIterator<Item = ChangeFault>) {
+        self.shared.lock().unwrap().faults = faults.into_iter().collect();
+    }
+
+    /// Sets the answers to the next questions for progress; the last one stays.
+    pub fn script_progress(&self, progress: impl IntoIterator<Item = Progress>) {
+        self.shared.lock().unwrap().progress = progress.into_iter().collect();
+    }
+
+    /// Serves this configuration from now on, as a node that lags.
+    pub fn serve_stale(&self, configuration: Configuration) {
+        self.shared.lock().unwrap().stale = Some(configuration);
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Handled {
+        let authorization = request.headers().get("authorization");
+        let expected = format!("Bearer {TOKEN}");
+        if authorization.is_none_or(|value| value.as_bytes() != expected.as_bytes()) {
+            let refusal = AdminError::new(
+                AdminErrorCode::Unauthorized,
+                "the token is not known",
+                "use an operator's token",
+            );
+            return json_answer(StatusCode::UNAUTHORIZED, &refusal);
+        }
+        let path = request.uri().path().to_owned();
+        let after = request
+            .uri()
+            .query()
+            .and_then(|query| query.strip_prefix("after="));
+        let after = after.map_or(0, |after| after.parse().expect("a generation"));
+        match path.strip_prefix("/admin/v1/").unwrap_or_default() {
+            "configuration" => json_answer(StatusCode::OK, &self.configuration().await),
+            "changes" => self.submit(request).await,
+            "history" => {
+                let changes = self.store.changes_after(after, 0).await.expect("up");
+                json_answer(StatusCode::OK, &changes)
+            }
+            "status" => json_answer(StatusCode::OK, &status()),
+            "deferred" => json_answer(StatusCode::OK, &[deferred()]),
+            path if path.ends_with("/progress") => json_answer(StatusCode::OK, &self.progress()),
+            path if path.ends_with(&request_id().to_string()) => {
+                json_answer(StatusCode::OK, &explanation())
+            }
+            _ => json_answer(
+                StatusCode::NOT_FOUND,
+                &AdminError::new(AdminErrorCode::NotFound, "no such request", "check its id"),
+            ),
+        }
+    }
+
+    async fn configuration(&self) -> Configuration {
+        let stale = self.shared.lock().unwrap().stale.clone();
+        match stale {
+            Some(configuration) => configuration,
+            None => self.store.load().await.expect("up"),
+        }
+    }
+
+    async fn submit(&self, request: Request<Incoming>) -> Handled {
+        let body = read_body(request).await?;
+        let change: Change = serde_json::from_slice(&body).expect("a change");
+        let fault = self.shared.lock().unwrap().faults.pop_front();
+        match fault {
+            Some(ChangeFault::OutcomeUnknown) => {
+                let refusal = AdminError::new(
+                    AdminErrorCode::OutcomeUnknown,
+                    "answer lost",
+                    "send the same change again",
+                );
+                return json_answer(StatusCode::SERVICE_UNAVAILABLE, &refusal);
+            }
+            Some(ChangeFault::StoreDown) => {
+                let refusal = AdminError::new(
+                    AdminErrorCode::StoreUnavailable,
+                    "the store is down",
+                    "try again later",
+                );
+                return json_answer(StatusCode::SERVICE_UNAVAILABLE, &refusal);
+            }
+            Some(ChangeFault::AnswerLost) | None => {}
+        }
+        let now = Now {
+            mono_ms: 0,
+            unix_ms: 1_796_331_600_000,
+        };
+        let submission = self.store.submit(change, now).await;
+        if fault.is_some() {
+            return Err(std::io::Error::other("connection broke"));
+        }
+        match submission {
+            Ok(submission) => {
+                let status = match submission {
+                    Submission::Written { .. } => StatusCode::OK,
+                    Submission::Conflict { .. } => StatusCode::CONFLICT,
+                };
+                json_answer(status, &ChangeAnswer::from(submission))
+            }
+            Err(error) => json_answer(StatusCode::BAD_REQUEST, &AdminError::from(error)),
+        }
+    }
+
+    fn progress(&self) -> Progress {
+        let mut shared = self.shared.lock().unwrap();
+        if shared.progress.len() > 1 {
+            return shared.progress.pop_front().expect("not empty");
+        }
+        shared.progress.front().cloned().expect("scripted")
+    }
+}
+
+/// A progress with these nodes.
+pub fn progress(in_force: &[&str], waiting: &[&str]) -> Progress {
+    Progress {
+        generation: 1,
+        in_force: in_force.iter().map(|name| (*name).into()).collect(),
+        waiting: waiting.iter().map(|name| (*name).into()).collect(),
+        accepted: waiting.is_empty(),
+    }
+}
+
+pub fn request_id() -> RequestId {
+    RequestId::from_u128(0xabc)
+}
+
+fn status() -> Status {
+    Status {
+        node: "em-a-1".into(),
+        generation: 7,
+        nodes: vec![NodeStatus {
+            name: "em-b-1".into(),
+            data_centre: "em-b".into(),
+            state: NodeState::Suspect,
+            generation: 6,
+            age_ms: 2_300,
+        }],
+        endpoints: vec![EndpointStatus {
+            name: "hitch-models-1".into(),
+            service: "hitch-models".into(),
+            data_centre: "em-a".into(),
+            state: EndpointState::Cold,
+            owner: None,
+            limit: 2,
+            in_flight: 1,
+            report_age_ms: Some(400),
+        }],
+        stopped_roll_outs: vec![StoppedRollOut {
+            version: "pull-large@2".into(),
+            reason: "9 errors in 40 requests, baseline 0 in 800".to_owned(),
+            at_unix_ms: 1_796_331_600_000,
+        }],
+    }
+}
+
+fn explanation() -> Explanation {
+    Explanation {
+        request: request_id(),
+        node: "em-a-1".into(),
+        organisation: "derby".into(),
+        class: Class::Till,
+        generation: 7,
+        steps: vec![ExplanationStep {
+            at_unix_ms: 1_796_331_600_000,
+            stage: Stage::Claimed,
+            version: None,
+            endpoint: Some("pull-app-1".into()),
+            reason: "not idempotent".to_owned(),
+        }],
+    }
+}
+
+fn deferred() -> DeferredStatus {
+    DeferredStatus {
+        request: request_id(),
+        organisation: "derby".into(),
+        model: Some("pull-small".into()),
+        state: DeferredState::Waiting,
+        admitted_unix_ms: 1_796_331_600_000,
+        deadline_unix_ms: 1_796_371_200_000,
+        attempts: 0,
+    }
+}
