--- a/crates/hemlockhitch_config/tests/store.rs
+++ b/crates/hemlockhitch_config/tests/store.rs
@@ -154,6 +154,34 @@
     "#);
 }
 
+#[tokio::test]
+async fn simultaneous_changes_conflict_only_on_shared_rows() {
+    let kv = FaultyKeyValue::default();
+    let stores: Vec<_> = (0..6).map(|_| ConfigStore::new(kv.clone())).collect();
+    let own_rows = stores.iter().zip(0..).map(|(store, number)| {
+        let change = set(u128::from(number) + 1, 0, number, false);
+        submit(store, change)
+    });
+    let mut own_rows = futures_util::future::join_all(own_rows).await;
+    own_rows.sort();
+    assert_eq!(
+        own_rows.join(" "),
+        "written 1 written 2 written 3 written 4 written 5 written 6"
+    );
+    let one_row = stores.iter().zip(0_u64..).map(|(store, number)| {
+        let change = set(u128::from(number) + 10, 6, 1, number % 2 == 0);
+        submit(store, change)
+    });
+    let mut one_row = futures_util::future::join_all(one_row).await;
+    one_row.sort();
+    assert_eq!(one_row.pop().as_deref(), Some("written 7"));
+    assert!(
+        one_row
+            .iter()
+            .all(|it| it == "conflict at 7 on data_centre/dc-1")
+    );
+}
+
 #[tokio::test]
 async fn store_that_is_down_changes_nothing() {
     let kv = FaultyKeyValue::default();
--- a/crates/hemlockhitch_config/tests/support/mod.rs
+++ b/crates/hemlockhitch_config/tests/support/mod.rs
@@ -41,6 +41,7 @@
     down: bool,
     down_after_fault: bool,
     snapshots_refused: bool,
+    late_held: bool,
     swaps: Vec<Swap>,
 }
 
@@ -70,6 +71,11 @@
         self.state.lock().unwrap().swaps.clone()
     }
 
+    /// Keeps late writes under way until [`FaultyKeyValue::deliver_late`].
+    pub fn hold_late(&self) {
+        self.state.lock().unwrap().late_held = true;
+    }
+
     /// Lets the writes that are under way take effect.
     pub async fn deliver_late(&self) {
         loop {
@@ -82,7 +88,9 @@
         }
     }
 
-    fn check_up(&self) -> Result<(), KeyValueError> {
+    async fn check_up(&self) -> Result<(), KeyValueError> {
+        // Lets other tasks act between two operations.
+        tokio::task::yield_now().await;
         if self.state.lock().unwrap().down {
             return Err(KeyValueError::new(
                 KeyValueErrorKind::Unavailable,
@@ -115,7 +123,7 @@
 
 impl KeyValue for FaultyKeyValue {
     async fn get(&self, key: &str) -> Result<Option<Entry>, KeyValueError> {
-        self.check_up()?;
+        self.check_up().await?;
         self.inner.get(key).await
     }
 
@@ -125,14 +133,17 @@
         after: Option<&str>,
         limit: usize,
     ) -> Result<Listing, KeyValueError> {
-        self.check_up()?;
+        self.check_up().await?;
         let listing = self.inner.list(prefix, after, limit).await;
-        self.deliver_late().await;
+        let held = self.state.lock().unwrap().late_held;
+        if !held {
+            self.deliver_late().await;
+        }
         listing
     }
 
     async fn swap(&self, swap: Swap) -> Result<SwapOutcome, KeyValueError> {
-        self.check_up()?;
+        self.check_up().await?;
         match self.next_fault(&swap) {
             SwapFault::None => self.inner.swap(swap).await,
             SwapFault::AnswerLost => {
@@ -157,7 +168,7 @@
         revision: u64,
         wait_ms: u64,
     ) -> Result<WatchBatch, KeyValueError> {
-        self.check_up()?;
+        self.check_up().await?;
         self.inner.watch(prefix, revision, wait_ms).await
     }
 
