Compile the routing table without a search for each planned stop

Cause: each planned stop searched all endpoints by name. A stop of an endpoint now looks its name up; a stop of a data centre goes over the endpoints once.

--- a/crates/hemlockhitch_config/src/table/compile.rs
+++ b/crates/hemlockhitch_config/src/table/compile.rs
@@ -198,12 +198,17 @@
     }
 
     fn stopped_endpoints(&self, target: &StopTarget) -> Vec<EndpointKey> {
+        match target {
+            StopTarget::Endpoint(name) => self.endpoint(name.as_str()).into_iter().collect(),
+            StopTarget::DataCentre(name) => self.endpoints_of(name.as_str()),
+        }
+    }
+
+    fn endpoints_of(&self, data_centre: &str) -> Vec<EndpointKey> {
+        let data_centre = self.data_centre(data_centre);
         self.endpoints
             .iter()
-            .filter(|(_, entry)| match target {
-                StopTarget::Endpoint(name) => entry.row.name == *name,
-                StopTarget::DataCentre(name) => entry.row.data_centre == *name,
-            })
+            .filter(|(_, entry)| Some(entry.data_centre) == data_centre)
             .map(|(key, _)| key)
             .collect()
     }
