--- a/crates/hemlockhitch_ledger/tests/common/faulty.rs
+++ b/crates/hemlockhitch_ledger/tests/common/faulty.rs
@@ -33,6 +33,8 @@
 /// The delay of [`Fault::Slow`] and [`Fault::LateEffect`].
 const DELAY: Duration = Duration::from_millis(300);
 
+const HOLD_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
 /// A store whose next calls meet faults; clones share the store, and the faults
 /// unless they are made by [`FaultyKeyValue::beside`].
 #[derive(Clone, Debug, Default)]
@@ -46,6 +48,8 @@
     swaps: VecDeque<Fault>,
     is_down: bool,
     refused: Option<&'static str>,
+    holds_gets: bool,
+    holds_lists: bool,
     swap_count: u64,
     read_count: u64,
 }
@@ -78,6 +82,16 @@
         self.faults().refused = part;
     }
 
+    /// Lets reads wait until it is called with `false`.
+    pub fn hold_gets(&self, holds: bool) {
+        self.faults().holds_gets = holds;
+    }
+
+    /// Lets listings wait until it is called with `false`.
+    pub fn hold_lists(&self, holds: bool) {
+        self.faults().holds_lists = holds;
+    }
+
     pub fn swap_count(&self) -> u64 {
         self.faults().swap_count
     }
@@ -116,6 +130,9 @@
 
 impl KeyValue for FaultyKeyValue {
     async fn get(&self, key: &str) -> Result<Option<Entry>, KeyValueError> {
+        while self.faults().holds_gets {
+            sleep(HOLD_CHECK_INTERVAL).await;
+        }
         self.read()?;
         self.store.get(key).await
     }
@@ -126,6 +143,9 @@
         after: Option<&str>,
         limit: usize,
     ) -> Result<Listing, KeyValueError> {
+        while self.faults().holds_lists {
+            sleep(HOLD_CHECK_INTERVAL).await;
+        }
         self.read()?;
         self.store.list(prefix, after, limit).await
     }
--- a/crates/hemlockhitch_ledger/tests/snapshots.rs
+++ b/crates/hemlockhitch_ledger/tests/snapshots.rs
@@ -10,7 +10,7 @@
 use hemlockhitch_ledger::shard::SoleOwner;
 use hemlockhitch_ledger::{LedgerErrorKind, LedgerSettings, LedgerWriter};
 use hemlockhitch_model::ManualClock;
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_platform::key_value::{KeyValue, Swap};
 
 fn with(
     kv: &FaultyKeyValue,
@@ -54,13 +54,41 @@
 
 #[tokio::test(start_paused = true)]
 async fn an_owner_that_was_paused_while_the_log_went_round_is_refused() {
+    // The old owner next writes a key that did not exist, or one that did.
+    for written in [10, 600] {
+        let kv = FaultyKeyValue::new();
+        let old = with(&kv, "old", |settings| settings);
+        run_claims(&old, 0..written).await;
+        let new = with(&kv.beside(), "new", |settings| settings);
+        run_claims(&new, 1_000..2_100).await;
+        let reply = old.handle(claim_call("k1600", 9_999), now()).await;
+        assert_eq!(show(&reply), "notowner");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_is_resolved_when_the_key_holds_a_former_batch() {
+    let kv = FaultyKeyValue::new();
+    let writer = with(&kv, "n-1", |settings| settings);
+    run_claims(&writer, 0..600).await;
+    for fault in [Fault::LostCall, Fault::LostAnswer, Fault::LateEffect] {
+        kv.script([fault]);
+        let name = format!("{fault:?}");
+        let reply = writer.handle(claim_call(&name, 9_999), now()).await;
+        assert_eq!(show(&reply), "granted", "{fault:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_log_that_lacks_a_batch_is_not_opened() {
     let kv = FaultyKeyValue::new();
-    let old = with(&kv, "old", |settings| settings);
-    run_claims(&old, 0..10).await;
-    let new = with(&kv.beside(), "new", |settings| settings);
-    run_claims(&new, 10..1_100).await;
-    let reply = old.handle(claim_call("k600", 9_999), now()).await;
-    assert_eq!(show(&reply), "notowner");
+    run_claims(&with(&kv, "n-1", |settings| settings), 0..3).await;
+    let entry = kv.store.get("ledger/0000/log/0002").await.unwrap().unwrap();
+    let delete = Swap::delete(entry.key, entry.version);
+    kv.store.swap(delete).await.unwrap();
+    let reader = with(&kv.beside(), "n-2", |settings| settings);
+    let reply = reader.handle(claim_call("k1", 9_999), now()).await;
+    assert_eq!(show(&reply), "failed Unavailable");
 }
 
 #[tokio::test(start_paused = true)]
@@ -135,6 +163,60 @@
     }
 }
 
+/// Claims under a new owner while the old one's snapshot is under way, lets the
+/// old one end, and expects every claim to be found.
+async fn hand_over(old: &FaultyKeyValue, new: &FaultyKeyValue, claims: u128) {
+    let writer = with(new, "new", |settings| settings.snapshot_batches(2));
+    run_claims(&writer, 100..100 + claims).await;
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    old.hold_gets(false);
+    old.hold_lists(false);
+    tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+    let reader = with(&old.beside(), "reader", |settings| settings);
+    for number in [0, 3, 100, 100 + claims - 1] {
+        let name = format!("k{number}");
+        let reply = reader.handle(claim_call(&name, 9_999), now()).await;
+        assert_eq!(show(&reply), format!("in progress by {number}"));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_snapshot_head_that_lands_late_replaces_no_newer_one() {
+    for place in 0..4 {
+        let kv = FaultyKeyValue::new();
+        let old = with(&kv, "old", |settings| settings.snapshot_batches(2));
+        run_claims(&old, 0..3).await;
+        kv.script(std::iter::repeat_n(Fault::None, place));
+        kv.script([Fault::LateEffect]);
+        kv.script([Fault::Down; 99]);
+        old.handle(claim_call("k3", 3), now()).await;
+        hand_over(&kv, &kv.beside(), 6).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_old_owner_replaces_no_snapshot_that_covers_more() {
+    let kv = FaultyKeyValue::new();
+    let old = with(&kv, "old", |settings| settings.snapshot_batches(2));
+    run_claims(&old, 0..3).await;
+    kv.hold_gets(true);
+    run_claims(&old, 3..4).await;
+    hand_over(&kv, &kv.beside(), 530).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_sweep_deletes_no_chunk_of_a_snapshot_under_way() {
+    let kv = FaultyKeyValue::new();
+    let old = with(&kv, "old", |settings| settings.snapshot_batches(2));
+    run_claims(&old, 0..3).await;
+    kv.hold_lists(true);
+    run_claims(&old, 3..4).await;
+    // The new owner writes two batches and a chunk, and then its head slowly.
+    let new = kv.beside();
+    new.script([Fault::None, Fault::None, Fault::None, Fault::Slow]);
+    hand_over(&kv, &new, 2).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_bill_that_comes_too_late_to_be_recognised_is_summed_apart() {
     let kv = FaultyKeyValue::new();
