Hold the platform's interfaces to contract tests

Faults stand in tables: down before the write, answer lost after it, slow beyond the limit, refused connection, answers in foreign words.

Found on the way: a refusal's message carried the name of the service twice, because the stand-in sent the error's whole text; it now sends its detail alone. The wake-up of watches on a new next lapse was ruled out as needless, since a key can only be attached by a write, which wakes them; it is gone.

--- a/crates/hemlockhitch_platform/src/key_value/error.rs
+++ b/crates/hemlockhitch_platform/src/key_value/error.rs
@@ -35,6 +35,12 @@
         }
     }
 
+    /// Returns what went wrong and the remedy.
+    #[must_use]
+    pub fn detail(&self) -> &str {
+        &self.detail
+    }
+
     /// Returns the kind of the failure.
     #[must_use]
     pub fn kind(&self) -> KeyValueErrorKind {
--- a/crates/hemlockhitch_platform/src/key_value/memory/history.rs
+++ b/crates/hemlockhitch_platform/src/key_value/memory/history.rs
@@ -2,22 +2,29 @@
 
 use std::collections::VecDeque;
 
-/// How many changes are kept.
-const MAX_CHANGES: usize = 16_384;
-
 /// The key of each of the latest changes; revisions are numbered without gaps.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct History {
+    max_changes: usize,
     /// The revision of the last change that is no longer kept.
     floor: u64,
     keys: VecDeque<String>,
 }
 
 impl History {
+    /// Creates an empty history that keeps up to `max_changes` changes.
+    pub(super) fn new(max_changes: usize) -> Self {
+        Self {
+            max_changes,
+            floor: 0,
+            keys: VecDeque::new(),
+        }
+    }
+
     /// Records the next change and returns its revision.
     pub(super) fn push(&mut self, key: &str) -> u64 {
         self.keys.push_back(key.to_owned());
-        if self.keys.len() > MAX_CHANGES {
+        if self.keys.len() > self.max_changes {
             self.keys.pop_front();
             self.floor += 1;
         }
--- a/crates/hemlockhitch_platform/src/key_value/memory/lease.rs
+++ b/crates/hemlockhitch_platform/src/key_value/memory/lease.rs
@@ -15,7 +15,7 @@
 pub(super) struct Leases {
     last_id: u64,
     held: HashMap<LeaseId, Lease>,
-    by_lapse: BTreeSet<(Instant, u64)>,
+    by_lapse: BTreeSet<(Instant, LeaseId)>,
 }
 
 #[derive(Debug)]
@@ -33,15 +33,13 @@
         let ttl = Duration::from_millis(ttl_ms.min(MAX_TTL_MS));
         let lapses_at = now + ttl;
         let keys = BTreeSet::new();
-        self.by_lapse.insert((lapses_at, id.0));
-        self.held.insert(
-            id,
-            Lease {
-                ttl,
-                lapses_at,
-                keys,
-            },
-        );
+        self.by_lapse.insert((lapses_at, id));
+        let lease = Lease {
+            ttl,
+            lapses_at,
+            keys,
+        };
+        self.held.insert(id, lease);
         id
     }
 
@@ -50,9 +48,9 @@
         let Some(lease) = self.held.get_mut(&id) else {
             return false;
         };
-        self.by_lapse.remove(&(lease.lapses_at, id.0));
+        self.by_lapse.remove(&(lease.lapses_at, id));
         lease.lapses_at = now + lease.ttl;
-        self.by_lapse.insert((lease.lapses_at, id.0));
+        self.by_lapse.insert((lease.lapses_at, id));
         true
     }
 
@@ -80,7 +78,7 @@
         let Some(lease) = self.held.remove(&id) else {
             return BTreeSet::new();
         };
-        self.by_lapse.remove(&(lease.lapses_at, id.0));
+        self.by_lapse.remove(&(lease.lapses_at, id));
         lease.keys
     }
 
@@ -94,6 +92,6 @@
         self.by_lapse
             .first()
             .filter(|(lapses_at, _)| *lapses_at <= now)
-            .map(|(_, id)| LeaseId(*id))
+            .map(|(_, id)| *id)
     }
 }
--- a/crates/hemlockhitch_platform/src/key_value/memory/mod.rs
+++ b/crates/hemlockhitch_platform/src/key_value/memory/mod.rs
@@ -19,16 +19,19 @@
 /// The largest value that the service holds, in bytes.
 const MAX_VALUE_BYTES: usize = 1 << 20;
 
+/// How many changes the service keeps for watches.
+const MAX_CHANGES: usize = 16_384;
+
 /// The longest wait of a watch, in milliseconds.
 const MAX_WAIT_MS: u64 = 3_600_000;
 
 /// A key-value service that lives in memory; clones share one store.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct MemoryKeyValue {
     shared: Arc<Shared>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
     state: Mutex<State>,
     changed: Notify,
@@ -38,27 +41,46 @@
     /// Creates an empty store.
     #[must_use]
     pub fn new() -> Self {
-        Self::default()
+        Self::with_history(MAX_CHANGES)
+    }
+
+    /// Creates an empty store that keeps up to `max_changes` changes; a watch
+    /// from before them gets a complete batch.
+    #[must_use]
+    pub fn with_history(max_changes: usize) -> Self {
+        let shared = Shared {
+            state: Mutex::new(State::new(max_changes)),
+            changed: Notify::new(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
     }
 
-    /// Acts on the state as it is now, and wakes the waiting watches if a key
-    /// changed or the next lease to lapse is another one.
+    /// Acts on the state as it is at `now`, and wakes the waiting watches if a
+    /// key changed.
     fn with_state<T>(&self, now: Instant, action: impl FnOnce(&mut State) -> T) -> T {
         let mut state = self
             .shared
             .state
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let before = (state.revision(), state.next_lapse());
+        let revision = state.revision();
         state.drop_lapsed(now);
         let result = action(&mut state);
-        if before != (state.revision(), state.next_lapse()) {
+        if state.revision() != revision {
             self.shared.changed.notify_waiters();
         }
         result
     }
 }
 
+impl Default for MemoryKeyValue {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl KeyValue for MemoryKeyValue {
     async fn get(&self, key: &str) -> Result<Option<Entry>, KeyValueError> {
         Ok(self.with_state(Instant::now(), |state| state.entry(key)))
--- a/crates/hemlockhitch_platform/src/key_value/memory/state.rs
+++ b/crates/hemlockhitch_platform/src/key_value/memory/state.rs
@@ -13,7 +13,7 @@
 use super::lease::Leases;
 
 /// The whole state of a store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct State {
     entries: BTreeMap<String, Stored>,
     history: History,
@@ -28,6 +28,15 @@
 }
 
 impl State {
+    /// Creates an empty state that keeps up to `max_changes` changes.
+    pub(super) fn new(max_changes: usize) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            history: History::new(max_changes),
+            leases: Leases::default(),
+        }
+    }
+
     /// Returns the revision of the latest change.
     pub(super) fn revision(&self) -> u64 {
         self.history.revision()
--- a/crates/hemlockhitch_platform/src/key_value/types.rs
+++ b/crates/hemlockhitch_platform/src/key_value/types.rs
@@ -40,7 +40,7 @@
 }
 
 /// Identifies a lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct LeaseId(pub u64);
 
--- /dev/null
+++ b/crates/hemlockhitch_platform/tests/key_value_faults.rs
@@ -0,0 +1,229 @@
+//! What the HTTP client reports when the key-value service fails.
+
+use hemlockhitch_platform::key_value::{
+    HttpKeyValue, KeyValue, KeyValueError, KeyValueErrorKind, Swap,
+};
+use hemlockhitch_standin::key_value::{Faults, KeyValueStandin, start};
+use hemlockhitch_standin::server::{Server, answer};
+use http::StatusCode;
+use tokio::net::TcpStream;
+
+/// The time limit of the client in cases that do not wait for it.
+const LONG_LIMIT_MS: u64 = 30_000;
+
+/// The time limit of the client in cases that wait for it.
+const SHORT_LIMIT_MS: u64 = 200;
+
+/// A delay that the short limit does not cover, but a read back does.
+const DELAY_MS: u64 = 3_000;
+
+struct Case {
+    name: &'static str,
+    faults: Faults,
+    limit_ms: u64,
+    /// The kind of the failure, if a write fails.
+    write: Option<KeyValueErrorKind>,
+    /// Whether the write takes effect.
+    written: bool,
+    /// The kind of the failure, if a read fails.
+    read: Option<KeyValueErrorKind>,
+}
+
+fn cases() -> [Case; 6] {
+    let sound = || Case {
+        name: "sound",
+        faults: Faults::default(),
+        limit_ms: LONG_LIMIT_MS,
+        write: None,
+        written: true,
+        read: None,
+    };
+    let lost_prefix = |prefix: &str| Faults {
+        lost_prefix: Some(prefix.to_owned()),
+        ..Faults::default()
+    };
+    [
+        sound(),
+        Case {
+            name: "down before the write",
+            faults: Faults {
+                down: true,
+                ..Faults::default()
+            },
+            write: Some(KeyValueErrorKind::Unknown),
+            written: false,
+            read: Some(KeyValueErrorKind::Unavailable),
+            ..sound()
+        },
+        Case {
+            name: "answer lost after the write",
+            faults: Faults {
+                lost_answers: 1,
+                ..Faults::default()
+            },
+            write: Some(KeyValueErrorKind::Unknown),
+            ..sound()
+        },
+        Case {
+            name: "answer lost for the key",
+            faults: lost_prefix("a/"),
+            write: Some(KeyValueErrorKind::Unknown),
+            ..sound()
+        },
+        Case {
+            name: "answer lost for other keys",
+            faults: lost_prefix("b/"),
+            ..sound()
+        },
+        Case {
+            name: "slow beyond the limit",
+            faults: Faults {
+                delay_ms: DELAY_MS,
+                ..Faults::default()
+            },
+            limit_ms: SHORT_LIMIT_MS,
+            write: Some(KeyValueErrorKind::Unknown),
+            read: Some(KeyValueErrorKind::Unavailable),
+            ..sound()
+        },
+    ]
+}
+
+#[tokio::test]
+async fn failures_of_reads_and_writes() {
+    for case in cases() {
+        let standin = standin().await;
+        let client = client(&standin, case.limit_ms);
+        standin.faults().set(case.faults);
+        let written = client.swap(Swap::create("a/1", "value")).await;
+        assert_eq!(kind(&written), case.write, "write, {}", case.name);
+        let read = client.get("a/1").await;
+        assert_eq!(kind(&read), case.read, "get, {}", case.name);
+        let listed = client.list("a/", None, 1).await;
+        assert_eq!(kind(&listed), case.read, "list, {}", case.name);
+        let watched = client.watch("a/", 0, 0).await;
+        assert_eq!(kind(&watched), case.read, "watch, {}", case.name);
+        let effect = effect(&standin, case.written).await;
+        assert_eq!(effect, case.written, "effect, {}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn every_write_may_lose_its_answer_after_its_effect() {
+    let standin = standin().await;
+    let client = client(&standin, LONG_LIMIT_MS);
+    let unknown = Some(KeyValueErrorKind::Unknown);
+    let lease = client.lease_grant(LONG_LIMIT_MS).await.unwrap();
+    let attached = Swap::create("a/1", "").lease(lease);
+    client.swap(attached).await.unwrap();
+    standin.faults().set(Faults {
+        lost_answers: 3,
+        ..Faults::default()
+    });
+    assert_eq!(kind(&client.lease_grant(LONG_LIMIT_MS).await), unknown);
+    assert_eq!(kind(&client.lease_renew(lease).await), unknown);
+    assert_eq!(kind(&client.lease_revoke(lease).await), unknown);
+    assert_eq!(client.get("a/1").await.unwrap(), None);
+    assert_eq!(standin.faults().get(), Faults::default());
+}
+
+#[tokio::test]
+async fn a_refused_connection_proves_that_nothing_was_written() {
+    let standin = standin().await;
+    let client = client(&standin, LONG_LIMIT_MS);
+    let address = standin.address();
+    drop(standin);
+    // The listener closes in another task.
+    while TcpStream::connect(address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    let unavailable = Some(KeyValueErrorKind::Unavailable);
+    let written = client.swap(Swap::create("a/1", "")).await;
+    assert_eq!(kind(&written), unavailable);
+    assert_eq!(kind(&client.get("a/1").await), unavailable);
+    assert_eq!(kind(&client.lease_grant(1).await), unavailable);
+}
+
+#[tokio::test]
+async fn an_answer_in_foreign_words_proves_nothing() {
+    use KeyValueErrorKind::{Protocol, Unavailable, Unknown};
+    let table = [
+        (StatusCode::OK, "<html>", Unknown, Protocol),
+        (StatusCode::BAD_GATEWAY, "<html>", Unknown, Unavailable),
+        (StatusCode::CONFLICT, "{}", Unknown, Unavailable),
+    ];
+    for (status, body, write, read) in table {
+        let handler = move |_| async move { answer(status, "text/html", body) };
+        let server = Server::start(([127, 0, 0, 1], 0).into(), handler).await;
+        let server = server.unwrap();
+        let client = HttpKeyValue::new(server.address().to_string());
+        let client = client.limit_ms(LONG_LIMIT_MS);
+        let written = client.swap(Swap::create("a/1", "")).await;
+        assert_eq!(kind(&written), Some(write), "write, {status}");
+        assert_eq!(kind(&client.get("a/1").await), Some(read), "read, {status}");
+    }
+}
+
+#[tokio::test]
+async fn a_waiting_watch_breaks_when_the_service_goes_down() {
+    let standin = standin().await;
+    let client = client(&standin, LONG_LIMIT_MS);
+    let watch = tokio::spawn(async move { client.watch("a/", 0, LONG_LIMIT_MS).await });
+    while standin.calls().watches == 0 {
+        tokio::task::yield_now().await;
+    }
+    standin.faults().set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let watched = watch.await.unwrap();
+    assert_eq!(kind(&watched), Some(KeyValueErrorKind::Unavailable));
+}
+
+#[tokio::test]
+async fn the_time_limit_of_a_watch_includes_its_wait() {
+    let standin = standin().await;
+    let client = client(&standin, 1_000);
+    let batch = client.watch("a/", 0, 1_500).await.unwrap();
+    assert!(batch.written.is_empty());
+}
+
+#[tokio::test]
+async fn both_sides_count_each_call_once() {
+    let standin = standin().await;
+    let client = client(&standin, LONG_LIMIT_MS);
+    client.swap(Swap::create("a/1", "")).await.unwrap();
+    let lease = client.lease_grant(LONG_LIMIT_MS).await.unwrap();
+    client.lease_renew(lease).await.unwrap();
+    client.lease_revoke(lease).await.unwrap();
+    client.get("a/1").await.unwrap();
+    client.list("a/", None, 1).await.unwrap();
+    client.watch("a/", 2, 100).await.unwrap();
+    standin.faults().set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    client.get("a/1").await.unwrap_err();
+    let counts = client.calls().counts();
+    assert_eq!(standin.calls(), counts);
+    insta::assert_snapshot!(format!("{counts:?}"), @"StoreCallCounts { reads: 3, writes: 4, watches: 1 }");
+}
+
+async fn standin() -> KeyValueStandin {
+    start(([127, 0, 0, 1], 0).into()).await.unwrap()
+}
+
+fn client(standin: &KeyValueStandin, limit_ms: u64) -> HttpKeyValue {
+    HttpKeyValue::new(standin.address().to_string()).limit_ms(limit_ms)
+}
+
+fn kind<T>(result: &Result<T, KeyValueError>) -> Option<KeyValueErrorKind> {
+    result.as_ref().err().map(KeyValueError::kind)
+}
+
+/// Returns whether the key is there, waiting for it if it is expected.
+async fn effect(standin: &KeyValueStandin, expected: bool) -> bool {
+    let wait_ms = if expected { LONG_LIMIT_MS } else { 0 };
+    let batch = standin.store().watch("a/", 0, wait_ms).await.unwrap();
+    !batch.written.is_empty()
+}
--- a/crates/hemlockhitch_standin/src/key_value/service.rs
+++ b/crates/hemlockhitch_standin/src/key_value/service.rs
@@ -176,7 +176,7 @@
         KeyValueErrorKind::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, RefusalCode::TooLarge),
         _ => (StatusCode::SERVICE_UNAVAILABLE, RefusalCode::Unavailable),
     };
-    let detail = error.to_string();
+    let detail = error.detail().to_owned();
     json_answer(status, &Refusal { code, detail })
 }
 
