--- a/crates/hemlockhitch_config/src/change/mod.rs
+++ b/crates/hemlockhitch_config/src/change/mod.rs
@@ -15,6 +15,23 @@
     pub row: Option<Row>,
 }
 
+impl RowEdit {
+    /// Adds or replaces a row.
+    #[must_use]
+    pub fn set(row: Row) -> Self {
+        Self {
+            key: row.key(),
+            row: Some(row),
+        }
+    }
+
+    /// Removes a row.
+    #[must_use]
+    pub fn remove(key: RowKey) -> Self {
+        Self { key, row: None }
+    }
+}
+
 /// One change of an operator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -30,3 +47,13 @@
     /// The rows that change.
     pub edits: Vec<RowEdit>,
 }
+
+/// A change that was accepted, and the generation that it became.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NumberedChange {
+    /// The generation.
+    pub generation: u64,
+    /// The change.
+    pub change: Change,
+}
--- a/crates/hemlockhitch_config/src/lib.rs
+++ b/crates/hemlockhitch_config/src/lib.rs
@@ -4,10 +4,18 @@
 //! are numbered by generation. The request path reads a [`RoutingTable`], which
 //! is compiled from a configuration once for each generation.
 
+pub mod admin;
 pub mod change;
+pub mod check;
 pub mod configuration;
+pub mod settings;
+pub mod sheet;
+pub mod store;
 pub mod table;
 
-pub use change::{Change, RowEdit};
+pub use change::{Change, NumberedChange, RowEdit};
 pub use configuration::{Configuration, Row, RowKey, RowKind, VersionedRow};
+pub use settings::Settings;
+pub use sheet::Sheet;
+pub use store::{ConfigStore, Submission};
 pub use table::RoutingTable;
--- /dev/null
+++ b/crates/hemlockhitch_ledger/src/state/totals.rs
@@ -0,0 +1,108 @@
+//! Sums of bills.
+
+use std::collections::BTreeMap;
+
+use hemlockhitch_model::{Class, OrganisationName};
+use serde::{Deserialize, Serialize};
+
+use crate::bill::Bill;
+
+/// What an organisation was billed for one class on one version or service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct BillTotal {
+    /// Who pays.
+    pub organisation: OrganisationName,
+    /// The class of the requests.
+    pub class: Class,
+    /// What ran: a version, or a service's name.
+    pub ran_on: String,
+    /// Number of requests.
+    pub request_count: u64,
+    /// Tokens of the prompts.
+    pub prompt_tokens: u64,
+    /// Tokens generated.
+    pub completion_tokens: u64,
+    /// Cost in millionths of the currency unit.
+    pub cost_micros: u64,
+}
+
+impl BillTotal {
+    fn of(bill: &Bill) -> Self {
+        Self {
+            organisation: bill.organisation.clone(),
+            class: bill.class,
+            ran_on: bill.ran_on.clone(),
+            request_count: 1,
+            prompt_tokens: u64::from(bill.prompt_tokens),
+            completion_tokens: u64::from(bill.completion_tokens),
+            cost_micros: bill.cost_micros,
+        }
+    }
+
+    fn key(&self) -> TotalKey {
+        TotalKey {
+            organisation: self.organisation.clone(),
+            class: self.class,
+            ran_on: self.ran_on.clone(),
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.request_count += other.request_count;
+        self.prompt_tokens += other.prompt_tokens;
+        self.completion_tokens += other.completion_tokens;
+        self.cost_micros = self.cost_micros.saturating_add(other.cost_micros);
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct TotalKey {
+    organisation: OrganisationName,
+    class: Class,
+    ran_on: String,
+}
+
+/// The sums of all bills of a shard.
+#[derive(Clone, Debug, Default)]
+pub struct BillTotals {
+    totals: BTreeMap<TotalKey, BillTotal>,
+}
+
+impl BillTotals {
+    /// Adds one bill.
+    pub fn add(&mut self, bill: &Bill) {
+        self.add_total(&BillTotal::of(bill));
+    }
+
+    /// Adds the sums of another shard.
+    pub fn merge(&mut self, other: &Self) {
+        for total in other.iter() {
+            self.add_total(total);
+        }
+    }
+
+    /// Iterates over the sums in order of organisation.
+    pub fn iter(&self) -> impl Iterator<Item = &BillTotal> {
+        self.totals.values()
+    }
+
+    fn add_total(&mut self, total: &BillTotal) {
+        match self.totals.get_mut(&total.key()) {
+            Some(sum) => sum.add(total),
+            None => {
+                self.totals.insert(total.key(), total.clone());
+            }
+        }
+    }
+}
+
+impl From<Vec<BillTotal>> for BillTotals {
+    fn from(totals: Vec<BillTotal>) -> Self {
+        let mut sums = Self::default();
+        for total in &totals {
+            sums.add_total(total);
+        }
+        sums
+    }
+}
