--- a/crates/hemlockhitch/src/node/mod.rs
+++ b/crates/hemlockhitch/src/node/mod.rs
@@ -116,7 +116,7 @@
                 RoutedSettings::new().shard_count(shard_count(&settings)),
             ),
             slots: peers.slots(),
-            suspects: NoticeSuspects::new(peers.notices()),
+            suspects: NoticeSuspects::new(Arc::clone(&peers)),
             gate: PeerGate::new(Arc::clone(&peers)),
             views: views.subscribe(),
             session_key,
--- a/crates/hemlockhitch/tests/processes/main.rs
+++ b/crates/hemlockhitch/tests/processes/main.rs
@@ -1,4 +1,5 @@
 //! Nodes and stand-ins as separate processes on loopback.
 
+mod failures;
 mod path;
 mod support;
--- a/crates/hemlockhitch_peer/src/peers/mod.rs
+++ b/crates/hemlockhitch_peer/src/peers/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use hemlockhitch_config::NumberedChange;
 use hemlockhitch_model::{Clock, Now};
 use hemlockhitch_platform::key_value::KeyValue;
@@ -21,11 +22,12 @@
 use crate::fitness::Fitness;
 use crate::ledger::PeerTransport;
 use crate::member::{InForce, Member, MemberState};
-use crate::notice::Notices;
+use crate::notice::{Notice, Notices};
 use crate::ownership::{Ownership, hand_over_all};
 use crate::shared::Shared;
 use crate::slots::PeerSlots;
 use crate::traffic::ControlBytes;
+use crate::wire;
 
 /// Rounds in which a draining node tries to hand its buckets over.
 const DRAIN_ROUNDS: u32 = 10;
@@ -160,6 +162,30 @@
         let _ = self.submitted.send(generation);
     }
 
+    /// Tells a fact to every node that answers, and returns once they know it
+    /// or the bound of a call is over.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a text of the notice is too long.
+    pub async fn tell(&self, notice: Notice, now: Now) -> Result<(), PeerError> {
+        self.shared.notices.post(notice.clone(), now)?;
+        let request = wire::PostRequest {
+            notices: vec![notice.to_wire()],
+        };
+        let members = self.members();
+        let others = members
+            .iter()
+            .filter(|member| member.is_alive() && member.id() != self.shared.own_id);
+        let calls = others.map(|member| {
+            let address = &member.identity.address;
+            self.shared.clients.post(address, request.clone())
+        });
+        // A peer that missed it learns of it from an exchange.
+        let _ = join_all(calls).await;
+        Ok(())
+    }
+
     /// Hands over what the node owns, tells its peers that it goes, and stops.
     ///
     /// # Errors
--- a/crates/hemlockhitch_peer/src/slots/remote.rs
+++ b/crates/hemlockhitch_peer/src/slots/remote.rs
@@ -127,6 +127,9 @@
     ) -> Result<(), SlotRefusal> {
         let share = self.share(request);
         let mut holder = self.shared.holder();
+        if !request.has_cold_start() {
+            holder.mark_warm(&request.endpoint, true, now);
+        }
         match holder.take_share(&request.endpoint, grant_id, share, now) {
             ShareAnswer::Taken => Ok(()),
             ShareAnswer::Full => Err(SlotRefusal::Full),
--- a/crates/hemlockhitch_router/src/place/mod.rs
+++ b/crates/hemlockhitch_router/src/place/mod.rs
@@ -28,8 +28,13 @@
             cold_limit: row.cold_limit,
             warm_limit: row.warm_limit,
         };
-        let slot = router.parts.slots.acquire(request, router.now()).await;
-        let slot = slot.ok()?;
+        let slot = match router.parts.slots.acquire(request, router.now()).await {
+            Ok(slot) => slot,
+            Err(refusal) => {
+                tracing::debug!(event = "HH0706", endpoint = %row.name, %refusal, "no slot");
+                return None;
+            }
+        };
         let state = Arc::clone(view.state(endpoint));
         state.started();
         Some(Self {
