Find a bucket's new owner when its news is late

Cause: after a node was killed, 80 buckets changed hands at once; a node whose news of them was late kept the dead node as owner and answered that nobody owns the shard, for more than 30 s. Ruled out: the ledger, whose new owner opened its shards at once; the lease, which lapsed after 10 s as set. Change: a dead owner is replaced by the member that should own the bucket, which owns it or names who does. Conclusion: ownership must not rest on news alone.

--- a/crates/hemlockhitch/tests/processes/failures/mod.rs
+++ b/crates/hemlockhitch/tests/processes/failures/mod.rs
@@ -23,7 +23,6 @@
     eventually("the hold ends", || async {
         let reply = hold_once(fleet, node, key).await?;
         let refusal = reply.refusal();
-        eprintln!("DBG {key} {} {}", reply.status, reply.body);
         let come_back = refusal.is_some_and(|refusal| refusal.retry_after_ms.is_some());
         (!come_back).then_some((reply.status, reply.body))
     })
--- a/crates/hemlockhitch/tests/processes/support/fleet.rs
+++ b/crates/hemlockhitch/tests/processes/support/fleet.rs
@@ -230,7 +230,7 @@
              metrics = 127.0.0.1:0\n\
              [platform]\nkey_value = {}\nvm_list = {}\n\
              [operators]\ntoken.test = {OPERATOR_TOKEN_SHA256} operate\n\
-             [log]\nlevel = info,hemlockhitch_router=debug,hemlockhitch_peer=debug\n",
+             [log]\nlevel = warn\n",
             self.key_value.address(),
             self.vm_list.address(),
         );
--- a/crates/hemlockhitch_peer/src/ownership/mod.rs
+++ b/crates/hemlockhitch_peer/src/ownership/mod.rs
@@ -17,7 +17,7 @@
 use hemlockhitch_model::{EndpointName, NodeName, Now};
 use hemlockhitch_platform::key_value::LeaseId;
 
-use crate::member::{MemberTable, NodeId};
+use crate::member::{Member, MemberTable, NodeId};
 use crate::wire;
 
 /// How many messages repeat the owner of a bucket after a change.
@@ -127,14 +127,15 @@
         }
         let known = self.lock().known.get(&bucket).copied();
         let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
-        let node = match known {
-            Some(known) => known.node,
-            None => members.desired_owner(bucket.hash()),
-        };
-        let owner = node
+        let live = |node: &NodeId| members.get(*node).is_some_and(Member::is_live);
+        // News of a new owner may be late: the node that should own the bucket
+        // either does or knows who does.
+        let owner = known
+            .and_then(|known| known.node)
+            .filter(live)
+            .or_else(|| members.desired_owner(bucket.hash()))
             .filter(|node| *node != self.own_id)
-            .and_then(|node| members.get(node))
-            .filter(|member| member.is_live());
+            .and_then(|node| members.get(node));
         match owner {
             Some(member) => Owner::At {
                 node: member.identity.name.clone(),
@@ -230,7 +231,7 @@
             .and_then(|known| known.node)
             .filter(|node| *node != self.own_id)
             .and_then(|node| members.get(node))
-            .is_some_and(crate::member::Member::is_live)
+            .is_some_and(Member::is_live)
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, OwnershipState> {
--- a/crates/hemlockhitch_peer/src/slots/mod.rs
+++ b/crates/hemlockhitch_peer/src/slots/mod.rs
@@ -37,14 +37,6 @@
     pub warm_limit: u32,
 }
 
-impl SlotRequest {
-    /// Returns whether the endpoint bears less while cold than when warm.
-    #[must_use]
-    pub fn has_cold_start(&self) -> bool {
-        self.cold_limit < self.warm_limit
-    }
-}
-
 /// No slot can be had now; the request did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum SlotRefusal {
