--- a/crates/hemlockhitch_config/tests/settings.rs
+++ b/crates/hemlockhitch_config/tests/settings.rs
@@ -151,3 +151,34 @@
             .starts_with("no-such-file.ini: file: cannot be read")
     );
 }
+
+/// A row of a table in the settings page, without its bars.
+fn documented(key: &str) -> Option<Vec<&'static str>> {
+    let page = include_str!("../../../docs/SETTINGS.md");
+    let start = format!("| `{key}` |");
+    let row = page.lines().find(|line| line.starts_with(&start))?;
+    Some(row.trim_matches('|').split('|').map(str::trim).collect())
+}
+
+#[test]
+fn page_names_every_key_with_default_and_bounds() {
+    let settings = Settings::builder().build().expect("defaults");
+    let settings = serde_json::to_value(settings).expect("JSON");
+    for section in ["node", "listen", "platform", "limits", "control", "log"] {
+        let keys = settings[section].as_object().expect("a section");
+        for (key, default) in keys {
+            let key = format!("{section}.{key}");
+            let row = documented(&key).unwrap_or_else(|| panic!("{key} is not in the page"));
+            let Some(number) = default.as_u64() else {
+                continue;
+            };
+            assert_eq!(row[1], number.to_string(), "default of {key}");
+            let (_, name) = key.split_once('.').expect("section.key");
+            let text = format!("[{section}]\n{name} = 99999999999\n");
+            assert!(
+                faults(&text).contains(&format!("use {}\n", row[2])),
+                "bounds of {key}"
+            );
+        }
+    }
+}
--- a/crates/hemlockhitch_config/tests/sheet.rs
+++ b/crates/hemlockhitch_config/tests/sheet.rs
@@ -393,3 +393,20 @@
         .tests(200)
         .quickcheck(property as fn(AnyRows) -> bool);
 }
+
+#[test]
+fn page_names_every_column_and_kind() {
+    let page = include_str!("../../../docs/SHEET.md");
+    let all = [faults(b"kind;colour\nx;y\n"), faults(b"kind\nshop\n")].join("\n");
+    let lists = all.lines().filter_map(|line| line.split_once("; use "));
+    let names: Vec<&str> = lists
+        .flat_map(|(_, list)| list.trim_start_matches("one of ").split(", "))
+        .collect();
+    assert!(names.len() > 40, "{all}");
+    for name in names {
+        assert!(
+            page.contains(&format!("`{name}`")),
+            "{name} is not in the page"
+        );
+    }
+}
