Give the history in pieces and keep it after the ring has turned

Cause: the history from generation 0 failed once 4,096 changes had been made, as its first changes are overwritten, and one answer held every change that is kept.

--- a/crates/hemlockhitch_config/src/admin/mod.rs
+++ b/crates/hemlockhitch_config/src/admin/mod.rs
@@ -10,7 +10,8 @@
 //! | `GET /admin/v1/requests/{id}` | [`Explanation`] |
 //! | `GET /admin/v1/deferred` | a list of [`DeferredStatus`] |
 //!
-//! Every other answer is an [`AdminError`].
+//! The history comes in pieces, oldest first: ask again after the last change of a
+//! piece; an empty piece is the end. Every other answer is an [`AdminError`].
 
 mod change;
 mod error;
--- a/crates/hemlockhitch_config/src/check/single.rs
+++ b/crates/hemlockhitch_config/src/check/single.rs
@@ -6,9 +6,7 @@
 use crate::configuration::{
     Cascade, Endpoint, Organisation, PlannedStop, RollOut, Row, ServiceCall, Share, Version,
 };
-
-/// The number of hexadecimal digits of a SHA-256 hash.
-const SHA256_DIGITS: usize = 64;
+use crate::digest::is_sha256;
 
 /// The methods that a service call may have.
 const METHODS: [&str; 5] = ["DELETE", "GET", "PATCH", "POST", "PUT"];
@@ -58,8 +56,7 @@
 }
 
 fn organisation(row: &Row, it: &Organisation, faults: &mut Vec<RowFault>) {
-    let hash = &it.token_sha256;
-    if hash.len() != SHA256_DIGITS || !hash.chars().all(|c| matches!(c, '0'..='9' | 'a'..='f')) {
+    if !is_sha256(&it.token_sha256) {
         let message = "is not a SHA-256 hash";
         let remedy = "give the hash of the token in 64 lower-case hexadecimal digits";
         faults.push(RowFault::new(row, "token_sha256", message, remedy));
--- a/crates/hemlockhitch_config/src/lib.rs
+++ b/crates/hemlockhitch_config/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod change;
 pub mod check;
 pub mod configuration;
+mod digest;
 pub mod settings;
 pub mod sheet;
 pub mod store;
--- a/crates/hemlockhitch_config/src/settings/sections.rs
+++ b/crates/hemlockhitch_config/src/settings/sections.rs
@@ -10,9 +10,7 @@
     AdvertiseSettings, ControlSettings, LimitSettings, ListenSettings, LogFormat, LogSettings,
     NodeSettings, OperatorToken, Permission, PlatformSettings, Settings,
 };
-
-/// The number of hexadecimal digits of a SHA-256 hash.
-const SHA256_DIGITS: usize = 64;
+use crate::digest::is_sha256;
 
 /// The fewest heartbeats that must fit in the self-stop time.
 const HEARTBEATS_PER_SELF_STOP: u64 = 2;
@@ -164,28 +162,24 @@
 fn parse_operator(entry: &SourceEntry) -> Option<OperatorToken> {
     let name = entry.key.strip_prefix("token.")?;
     let mut words = entry.value.split_whitespace();
-    let sha256 = words.next().filter(|word| is_sha256(word))?;
+    let sha256 = words.next()?.to_ascii_lowercase();
     let permission = match words.next()? {
         "read" => Permission::Read,
         "operate" => Permission::Operate,
         _ => return None,
     };
     let organisation = words.next().map(OrganisationName::from);
-    if name.is_empty() || words.next().is_some() {
+    if !is_sha256(&sha256) || name.is_empty() || words.next().is_some() {
         return None;
     }
     Some(OperatorToken {
         name: name.to_owned(),
-        sha256: sha256.to_ascii_lowercase(),
+        sha256,
         permission,
         organisation,
     })
 }
 
-fn is_sha256(word: &str) -> bool {
-    word.len() == SHA256_DIGITS && word.chars().all(|c| c.is_ascii_hexdigit())
-}
-
 /// Checks settings that were made in code.
 pub(super) fn check(settings: &Settings) -> Vec<Fault> {
     let limits = &settings.limits;
--- a/crates/hemlockhitch_config/src/store/mod.rs
+++ b/crates/hemlockhitch_config/src/store/mod.rs
@@ -49,7 +49,7 @@
 use hemlockhitch_platform::key_value::KeyValue;
 
 use crate::change::NumberedChange;
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, RETAINED_GENERATIONS};
 use known::Known;
 use record::CHANGE_PREFIX;
 use tail::Tail;
@@ -106,6 +106,26 @@
         Ok(tail.changes)
     }
 
+    /// Returns the first few changes after `generation`, or after the oldest one
+    /// that is kept. Ask again after the last of them for more; the list is empty
+    /// once there are none.
+    ///
+    /// # Errors
+    ///
+    /// As [`ConfigStore::load`].
+    pub async fn history(&self, generation: u64) -> Result<Vec<NumberedChange>, ConfigStoreError> {
+        for _ in 0..MAX_READS {
+            self.refresh().await?;
+            let newest = self.known.configuration().generation;
+            let oldest = newest.saturating_sub(RETAINED_GENERATIONS);
+            let page = tail::read_page(&self.kv, generation.max(oldest)).await?;
+            if let Some(page) = page {
+                return Ok(page.changes);
+            }
+        }
+        Err(ConfigStoreError::contended())
+    }
+
     async fn tail_after(&self, generation: u64) -> Result<Tail, ConfigStoreError> {
         let tail = tail::read(&self.kv, generation).await?;
         let tail = tail.ok_or_else(|| ConfigStoreError::too_old(generation))?;
--- a/crates/hemlockhitch_config/src/store/tail.rs
+++ b/crates/hemlockhitch_config/src/store/tail.rs
@@ -6,8 +6,8 @@
 use super::record::{self, CHANGE_PREFIX, StoredBody, StoredChange};
 use crate::change::{Change, NumberedChange};
 
-/// How many slots are listed at once.
-const PAGE: usize = 64;
+/// How many slots are listed at once; each may hold close to a megabyte.
+const PAGE: usize = 16;
 
 /// The changes after some generation, up to the newest.
 #[derive(Clone, Debug)]
@@ -19,6 +19,16 @@
     pub(super) revision: u64,
 }
 
+/// The first few changes after some generation.
+#[derive(Clone, Debug)]
+pub(super) struct Page {
+    pub(super) changes: Vec<NumberedChange>,
+    /// What a writer of the next generation must expect of its slot, if the page
+    /// reaches the newest change.
+    next_slot: Option<Expected>,
+    revision: u64,
+}
+
 /// What an entry is to a reader who expects some generation next.
 enum Step {
     Change(NumberedChange),
@@ -34,38 +44,57 @@
     generation: u64,
 ) -> Result<Option<Tail>, ConfigStoreError> {
     let mut changes: Vec<NumberedChange> = Vec::new();
-    let mut next = generation + 1;
     loop {
-        let slot = record::slot(next);
-        let before = slot.checked_sub(1).map(record::slot_key);
-        let listing = kv.list(CHANGE_PREFIX, before.as_deref(), PAGE).await?;
-        let mut end = (!listing.more).then_some(Expected::Absent);
-        for entry in &listing.entries {
-            match step(kv, entry, next).await? {
-                Step::Change(change) => changes.push(change),
-                Step::End(expected) => {
-                    end = Some(expected);
-                    break;
-                }
-                Step::Overwritten => return Ok(None),
-            }
-            next += 1;
-            if record::slot(next) == 0 {
-                // The ring goes on at its first slot, which another listing begins with.
-                end = None;
-                break;
-            }
-        }
-        if let Some(next_slot) = end {
+        let reached = generation + changes.len() as u64;
+        let Some(page) = read_page(kv, reached).await? else {
+            return Ok(None);
+        };
+        changes.extend(page.changes);
+        if let Some(next_slot) = page.next_slot {
             return Ok(Some(Tail {
                 changes,
                 next_slot,
-                revision: listing.revision,
+                revision: page.revision,
             }));
         }
     }
 }
 
+/// Reads the first few changes after `generation`; `None` when the first of them
+/// is overwritten.
+pub(super) async fn read_page<K: KeyValue>(
+    kv: &K,
+    generation: u64,
+) -> Result<Option<Page>, ConfigStoreError> {
+    let mut next = generation + 1;
+    let before = record::slot(next).checked_sub(1).map(record::slot_key);
+    let listing = kv.list(CHANGE_PREFIX, before.as_deref(), PAGE).await?;
+    let mut page = Page {
+        changes: Vec::new(),
+        next_slot: None,
+        revision: listing.revision,
+    };
+    for entry in &listing.entries {
+        match step(kv, entry, next).await? {
+            Step::Change(change) => page.changes.push(change),
+            Step::End(expected) => {
+                page.next_slot = Some(expected);
+                return Ok(Some(page));
+            }
+            Step::Overwritten => return Ok(None),
+        }
+        next += 1;
+        if record::slot(next) == 0 {
+            // The ring goes on at its first slot, which another listing begins with.
+            return Ok(Some(page));
+        }
+    }
+    if !listing.more {
+        page.next_slot = Some(Expected::Absent);
+    }
+    Ok(Some(page))
+}
+
 async fn step<K: KeyValue>(kv: &K, entry: &Entry, next: u64) -> Result<Step, ConfigStoreError> {
     if entry.key != record::slot_key(record::slot(next)) {
         return Ok(Step::End(Expected::Absent));
--- a/crates/hemlockhitch_ctl/src/args/command.rs
+++ b/crates/hemlockhitch_ctl/src/args/command.rs
@@ -50,7 +50,7 @@
         csv: bool,
     },
     History {
-        after: u64,
+        after: Option<u64>,
     },
     Version {
         name: VersionName,
@@ -110,7 +110,7 @@
             csv: matches.opt_present("csv"),
         },
         ["history"] => Command::History {
-            after: value(matches, "after", "write a generation")?.unwrap_or(0),
+            after: value(matches, "after", "write a generation")?,
         },
         ["version", word] => Command::Version {
             name: first.into(),
--- a/crates/hemlockhitch_ctl/src/args/help.rs
+++ b/crates/hemlockhitch_ctl/src/args/help.rs
@@ -44,7 +44,7 @@
     OptionHelp {
         name: "after",
         value: "GENERATION",
-        about: "show the changes after this generation alone",
+        about: "list all changes after this generation",
     },
     OptionHelp {
         name: "csv",
@@ -87,7 +87,7 @@
         words: &["history"],
         arguments: &[],
         options: &["after"],
-        about: "List the changes that are still kept.",
+        about: "List the newest changes.",
     },
     CommandHelp {
         words: &["version", "withdraw"],
--- a/crates/hemlockhitch_ctl/src/command/view.rs
+++ b/crates/hemlockhitch_ctl/src/command/view.rs
@@ -13,6 +13,9 @@
 use crate::error::CtlError;
 use crate::print;
 
+/// How many changes are listed unless the operator says otherwise.
+const HISTORY_LENGTH: u64 = 20;
+
 pub(super) async fn show(
     client: &AdminClient,
     csv: bool,
@@ -33,11 +36,15 @@
 
 pub(super) async fn history(
     client: &AdminClient,
-    after: u64,
+    after: Option<u64>,
     json: bool,
     out: &mut impl Write,
 ) -> Result<(), CtlError> {
-    let changes: Vec<NumberedChange> = client.get(&history_path(after)).await?;
+    let after = match after {
+        Some(after) => after,
+        None => newest(client).await?.saturating_sub(HISTORY_LENGTH),
+    };
+    let changes = changes_after(client, after).await?;
     if json {
         return print::json(&changes, out);
     }
@@ -45,6 +52,24 @@
     Ok(())
 }
 
+/// Reads the whole history after a generation, piece by piece.
+async fn changes_after(client: &AdminClient, after: u64) -> Result<Vec<NumberedChange>, CtlError> {
+    let mut changes: Vec<NumberedChange> = Vec::new();
+    loop {
+        let reached = changes.last().map_or(after, |last| last.generation);
+        let piece: Vec<NumberedChange> = client.get(&history_path(reached)).await?;
+        if piece.last().is_none_or(|last| last.generation <= reached) {
+            return Ok(changes);
+        }
+        changes.extend(piece);
+    }
+}
+
+async fn newest(client: &AdminClient) -> Result<u64, CtlError> {
+    let status: Status = client.get(STATUS_PATH).await?;
+    Ok(status.generation)
+}
+
 pub(super) async fn status(
     client: &AdminClient,
     json: bool,
--- a/crates/hemlockhitch_ctl/tests/support/mod.rs
+++ b/crates/hemlockhitch_ctl/tests/support/mod.rs
@@ -137,7 +137,7 @@
             "configuration" => json_answer(StatusCode::OK, &self.configuration().await),
             "changes" => self.submit(request).await,
             "history" => {
-                let changes = self.store.changes_after(after, 0).await.expect("up");
+                let changes = self.store.history(after).await.expect("up");
                 json_answer(StatusCode::OK, &changes)
             }
             "status" => json_answer(StatusCode::OK, &status()),
