--- a/crates/hemlockhitch_config/src/configuration/mod.rs
+++ b/crates/hemlockhitch_config/src/configuration/mod.rs
@@ -1,10 +1,12 @@
 //! The configuration: rows, each with the generation that last changed it.
 
+mod key;
 mod row;
 
+pub use key::{RowKey, RowKind};
 pub use row::{
     Allowance, Cascade, DataCentre, Endpoint, OrderCheck, Organisation, PlannedStop, RollOut,
-    RollOutState, Row, RowKey, RowKind, ServiceCall, Share, StopTarget, Version,
+    RollOutState, Row, ServiceCall, Share, StopTarget, Version,
 };
 
 use std::collections::BTreeMap;
--- a/crates/hemlockhitch_config/src/sheet/columns.rs
+++ b/crates/hemlockhitch_config/src/sheet/columns.rs
@@ -2,19 +2,6 @@
 
 use crate::configuration::RowKind;
 
-/// Every kind of row.
-pub(super) const KINDS: [RowKind; 9] = [
-    RowKind::Organisation,
-    RowKind::Version,
-    RowKind::Allowance,
-    RowKind::Cascade,
-    RowKind::DataCentre,
-    RowKind::Endpoint,
-    RowKind::ServiceCall,
-    RowKind::PlannedStop,
-    RowKind::RollOut,
-];
-
 /// Every column in the order of an export.
 pub(super) const COLUMNS: [&str; 32] = [
     "kind",
--- a/crates/hemlockhitch_config/src/sheet/rows.rs
+++ b/crates/hemlockhitch_config/src/sheet/rows.rs
@@ -3,7 +3,7 @@
 use hemlockhitch_model::{DataCentreName, EndpointName, ModelName, VersionName};
 
 use super::cells::Cells;
-use super::columns::{self, KINDS, NOTE};
+use super::columns::{self, NOTE};
 use super::fault::SheetFault;
 use super::table::{Record, Table};
 use crate::configuration::{
@@ -31,8 +31,8 @@
 pub(super) fn read(table: &Table, record: &Record, faults: &mut Vec<SheetFault>) -> Option<Row> {
     let mut cells = Cells::new(table, record, faults);
     let text = cells.text("kind")?;
-    let Some(kind) = KINDS.into_iter().find(|kind| kind.as_str() == text) else {
-        let words: Vec<&str> = KINDS.iter().map(|kind| kind.as_str()).collect();
+    let Some(kind) = RowKind::ALL.into_iter().find(|kind| kind.as_str() == text) else {
+        let words: Vec<&str> = RowKind::ALL.iter().map(|kind| kind.as_str()).collect();
         let message = format!("{text:?} is not a kind");
         cells.fault("kind", message, format!("use {}", words.join(", ")));
         return None;
--- a/crates/hemlockhitch_config/src/store/submit.rs
+++ b/crates/hemlockhitch_config/src/store/submit.rs
@@ -36,8 +36,9 @@
     ///
     /// # Errors
     ///
-    /// After [`Unknown`](super::ConfigStoreErrorKind::Unknown) the change may have been written:
-    /// send the same change again. After every other kind nothing was written.
+    /// After [`Unknown`](super::ConfigStoreErrorKind::Unknown) the change may have
+    /// been written: submit the same change again. After every other kind this
+    /// call has written nothing.
     pub async fn submit(&self, change: Change, now: Now) -> Result<Submission, ConfigStoreError> {
         check_form(&change)?;
         let change = Change {
--- a/crates/hemlockhitch_config/tests/settings.rs
+++ b/crates/hemlockhitch_config/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use hemlockhitch_config::settings::{Permission, Settings};
 use insta::assert_snapshot;
+use quickcheck::{Gen, QuickCheck};
 
 const EXAMPLE: &str = include_str!("../../../examples/node.ini");
 
@@ -182,3 +183,29 @@
         }
     }
 }
+
+#[test]
+fn any_text_gives_settings_or_faults_with_remedies() {
+    const PIECES: [&str; 14] = [
+        "[", "]", "[node]", "[limits]", "name", "queue_ms", "=", ":", "\n", "\r\n", ";", "7", "\"",
+        "\u{e4}",
+    ];
+    fn property(choices: Vec<u8>) -> bool {
+        let pieces = choices
+            .into_iter()
+            .map(|choice| PIECES[usize::from(choice) % PIECES.len()]);
+        let text: String = pieces.collect();
+        let error = Settings::parse(&text, "node.ini").expect_err("no address is given");
+        let lines = text.lines().count();
+        let placed = |line: Option<usize>| line.is_none_or(|line| (1..=lines).contains(&line));
+        !error.faults.is_empty()
+            && error
+                .faults
+                .iter()
+                .all(|it| !it.remedy.is_empty() && placed(it.line))
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(80, 0x1111))
+        .tests(2_000)
+        .quickcheck(property as fn(Vec<u8>) -> bool);
+}
--- a/crates/hemlockhitch_config/tests/sheet.rs
+++ b/crates/hemlockhitch_config/tests/sheet.rs
@@ -410,3 +410,29 @@
         );
     }
 }
+
+#[test]
+fn any_change_of_a_sample_gives_a_sheet_or_faults_with_remedies() {
+    fn property(edits: Vec<(usize, u8)>) -> bool {
+        let mut bytes = KARJAMAA.to_vec();
+        for (place, byte) in edits {
+            let place = place % bytes.len();
+            match byte % 4 {
+                0 => bytes.truncate(place.max(1)),
+                1 => bytes[place] = byte,
+                2 => bytes.insert(place, byte),
+                _ => bytes[place] = b';',
+            }
+        }
+        match Sheet::parse(&bytes, "sheet.csv") {
+            Ok(sheet) => sheet.rows().count() > 0,
+            Err(error) => {
+                !error.faults.is_empty() && error.faults.iter().all(|it| !it.remedy.is_empty())
+            }
+        }
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(6, 0x2222))
+        .tests(2_000)
+        .quickcheck(property as fn(Vec<(usize, u8)>) -> bool);
+}
