Keep deferred work in the key-value service

A job is a key, an entry by deadline that makes it findable, and, while a node works on it, a key that goes with the node's lease. The first result stands. Polls are bounded by an interval and skip what others work on.

--- a/crates/hemlockhitch_ledger/src/deferred/mod.rs
+++ b/crates/hemlockhitch_ledger/src/deferred/mod.rs
@@ -1,5 +1,14 @@
 //! Deferred work: requests that are kept in the store and run before a deadline.
 
+mod hold;
+mod keys;
+mod poll;
+mod queue;
+mod records;
+
+pub use hold::TakenJob;
+pub use queue::{Finished, Queue, QueueSettings};
+
 use hemlockhitch_model::{Class, OrganisationName, RequestId};
 use serde::{Deserialize, Serialize};
 
@@ -40,3 +49,17 @@
         reason: String,
     },
 }
+
+/// What is listed of a job that has not ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct OpenJob {
+    /// The request; it is also the id of the job.
+    pub request_id: RequestId,
+    /// Who asked.
+    pub organisation: OrganisationName,
+    /// The class of the request.
+    pub class: Class,
+    /// When it must be done, in milliseconds since the Unix epoch.
+    pub deadline_unix_ms: u64,
+}
--- a/crates/hemlockhitch_ledger/src/error.rs
+++ b/crates/hemlockhitch_ledger/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the ledger.
 
-use hemlockhitch_platform::key_value::KeyValueError;
+use hemlockhitch_platform::key_value::{KeyValueError, KeyValueErrorKind};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -18,6 +18,10 @@
     NotHolder,
     /// The record is larger than the store holds; shorten it.
     TooLarge,
+    /// Another record has this id; draw a new one.
+    Mismatch,
+    /// The lease of the node has lapsed; grant a new one.
+    LeaseLapsed,
     /// The record is known, but its details are no longer kept.
     Expired,
     /// The settings do not fit the stored ledger; set its shard count.
@@ -57,9 +61,11 @@
 
 impl From<KeyValueError> for LedgerError {
     fn from(error: KeyValueError) -> Self {
-        Self::new(
-            LedgerErrorKind::Unavailable,
-            format!("{error}; retry later"),
-        )
+        let kind = match error.kind() {
+            KeyValueErrorKind::LeaseLapsed => LedgerErrorKind::LeaseLapsed,
+            KeyValueErrorKind::TooLarge => LedgerErrorKind::TooLarge,
+            _ => LedgerErrorKind::Unavailable,
+        };
+        Self::new(kind, format!("{error}; retry later"))
     }
 }
--- a/crates/hemlockhitch_ledger/src/shard/mod.rs
+++ b/crates/hemlockhitch_ledger/src/shard/mod.rs
@@ -85,3 +85,8 @@
         (hash ^ u64::from(*byte)).wrapping_mul(HASH_PRIME)
     })
 }
+
+/// Returns a hash of `text` that is the same on every node and release.
+pub(crate) fn hash_text(text: &str) -> u64 {
+    hash(HASH_START, text.as_bytes())
+}
--- /dev/null
+++ b/crates/hemlockhitch_ledger/tests/deferred.rs
@@ -0,0 +1,260 @@
+//! Contract of the queue of deferred work.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fault, FaultyKeyValue, attempt, now};
+use hemlockhitch_ledger::LedgerErrorKind;
+use hemlockhitch_ledger::deferred::{Finished, Job, JobState, Queue, QueueSettings};
+use hemlockhitch_model::{Class, Now};
+use hemlockhitch_platform::key_value::{KeyValue, LeaseId};
+use tokio::time::sleep;
+
+const LEASE_MS: u64 = 10_000;
+
+fn queue(kv: &FaultyKeyValue) -> Queue<FaultyKeyValue> {
+    Queue::new(kv.clone(), QueueSettings::default())
+}
+
+fn job(number: u128) -> Job {
+    Job {
+        request_id: attempt(number),
+        organisation: "org".into(),
+        class: Class::Overnight,
+        body: "{}".to_owned(),
+        accepted_unix_ms: now().unix_ms,
+        deadline_unix_ms: now().unix_ms + 3_600_000,
+    }
+}
+
+fn done(answer: &str) -> JobState {
+    JobState::Done {
+        answer: answer.to_owned(),
+    }
+}
+
+fn later(elapsed_ms: u64) -> Now {
+    Now {
+        mono_ms: now().mono_ms + elapsed_ms,
+        unix_ms: now().unix_ms + elapsed_ms,
+    }
+}
+
+async fn lease(kv: &FaultyKeyValue) -> LeaseId {
+    kv.lease_grant(LEASE_MS).await.unwrap()
+}
+
+async fn state(queue: &Queue<FaultyKeyValue>, number: u128) -> Option<JobState> {
+    queue.get(&"org".into(), attempt(number)).await.unwrap()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_is_taken_by_one_node_and_ends_once() {
+    let kv = FaultyKeyValue::new();
+    let (a, b) = (queue(&kv), queue(&kv));
+    let lease = lease(&kv).await;
+    assert_eq!(state(&a, 1).await, None);
+    a.put(&job(1)).await.unwrap();
+    a.put(&job(1)).await.unwrap();
+    assert_eq!(state(&a, 1).await, Some(JobState::Queued));
+    let taken = a.take(&"a".into(), lease, now()).await.unwrap().unwrap();
+    assert_eq!(*taken, job(1));
+    assert!(b.take(&"b".into(), lease, now()).await.unwrap().is_none());
+    assert_eq!(state(&b, 1).await, Some(JobState::Running));
+    let first = a.finish(&taken, done("first"), now()).await.unwrap();
+    assert_eq!(first, Finished::Recorded);
+    let second = b.finish(&taken, done("second"), later(1)).await.unwrap();
+    assert_eq!(second, Finished::EndedBefore(done("first")));
+    assert_eq!(state(&b, 1).await, Some(done("first")));
+    assert!(b.list(9).await.unwrap().is_empty());
+    // Stored again after its end, it does not run again.
+    a.put(&job(1)).await.unwrap();
+    assert!(
+        a.take(&"a".into(), lease, later(60_000))
+            .await
+            .unwrap()
+            .is_none()
+    );
+    assert!(b.list(9).await.unwrap().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn nodes_that_find_the_same_jobs_take_each_once() {
+    let kv_a = FaultyKeyValue::new();
+    let kv_b = kv_a.beside();
+    let (a, b) = (queue(&kv_a), queue(&kv_b));
+    let lease = lease(&kv_a).await;
+    a.put(&job(1)).await.unwrap();
+    a.put(&job(2)).await.unwrap();
+    // Both nodes have read that a job is free; the second write comes late.
+    kv_b.script([Fault::Slow]);
+    let node = "b".into();
+    let (first, second) = tokio::join!(b.take(&node, lease, now()), async {
+        sleep(Duration::from_millis(10)).await;
+        let first = a.take(&"a".into(), lease, now()).await.unwrap();
+        let second = a.take(&"a".into(), lease, now()).await.unwrap();
+        (first, second)
+    });
+    assert!(first.unwrap().is_none());
+    assert!(second.0.is_some() && second.1.is_some());
+    // The second job is known to this node, and was taken by another since.
+    let kv = FaultyKeyValue::new();
+    let (a, b) = (queue(&kv), queue(&kv));
+    a.put(&job(1)).await.unwrap();
+    a.put(&job(2)).await.unwrap();
+    let lease = kv.lease_grant(LEASE_MS).await.unwrap();
+    let first = a.take(&"a".into(), lease, now()).await;
+    let second = b.take(&"b".into(), lease, now()).await;
+    assert!(first.unwrap().is_some() && second.unwrap().is_some());
+    assert!(a.take(&"a".into(), lease, now()).await.unwrap().is_none());
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_job_of_a_lost_vm_is_free_when_its_lease_lapses() {
+    let kv = FaultyKeyValue::new();
+    let (a, b) = (queue(&kv), queue(&kv));
+    let (lost, lives) = (lease(&kv).await, lease(&kv).await);
+    a.put(&job(1)).await.unwrap();
+    let taken = a.take(&"a".into(), lost, now()).await.unwrap().unwrap();
+    sleep(Duration::from_millis(LEASE_MS / 2)).await;
+    kv.lease_renew(lives).await.unwrap();
+    assert!(
+        b.take(&"b".into(), lives, later(5_000))
+            .await
+            .unwrap()
+            .is_none()
+    );
+    sleep(Duration::from_millis(LEASE_MS / 2)).await;
+    let again = b.take(&"b".into(), lives, later(10_000)).await.unwrap();
+    let again = again.expect("the job is free");
+    b.finish(&again, done("b"), later(11_000)).await.unwrap();
+    // The first node was only paused.
+    let late = a.finish(&taken, done("a"), later(12_000)).await.unwrap();
+    assert_eq!(late, Finished::EndedBefore(done("b")));
+    let error = a.take(&"a".into(), lost, later(60_000)).await;
+    assert!(error.unwrap().is_none(), "nothing is left to take");
+    a.put(&job(2)).await.unwrap();
+    let error = a.take(&"a".into(), lost, later(90_000)).await.unwrap_err();
+    assert_eq!(error.kind(), LedgerErrorKind::LeaseLapsed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_whose_work_stopped_is_taken_again_by_its_node() {
+    let kv = FaultyKeyValue::new();
+    let queue = queue(&kv);
+    let lease = lease(&kv).await;
+    queue.put(&job(1)).await.unwrap();
+    let taken = queue.take(&"a".into(), lease, now()).await.unwrap();
+    assert!(taken.is_some());
+    let none = queue.take(&"a".into(), lease, later(5_000)).await.unwrap();
+    assert!(none.is_none(), "this node works on it");
+    drop(taken);
+    let again = queue.take(&"a".into(), lease, later(10_000)).await.unwrap();
+    queue
+        .release(again.expect("the work has stopped"))
+        .await
+        .unwrap();
+    assert_eq!(state(&queue, 1).await, Some(JobState::Queued));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_past_its_deadline_fails_with_a_remedy() {
+    let kv = FaultyKeyValue::new();
+    let queue = queue(&kv);
+    let lease = lease(&kv).await;
+    queue.put(&job(1)).await.unwrap();
+    let taken = queue.take(&"a".into(), lease, later(3_600_000)).await;
+    assert!(taken.unwrap().is_none());
+    let Some(JobState::Failed { reason }) = state(&queue, 1).await else {
+        panic!("the job has not failed");
+    };
+    insta::assert_snapshot!(reason, @"the deadline passed before the job could run; send it again");
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_fault_of_a_write_loses_a_job_or_its_result() {
+    // Two writes store the job, one takes it, four end it.
+    for place in 0..7 {
+        for fault in [Fault::Down, Fault::LostAnswer, Fault::LostCall] {
+            let kv = FaultyKeyValue::new();
+            let queue = queue(&kv);
+            let lease = lease(&kv).await;
+            kv.script(std::iter::repeat_n(Fault::None, place));
+            kv.script([fault]);
+            let stored = queue.put(&job(1)).await;
+            assert!(
+                stored.is_ok() || fault == Fault::Down,
+                "{fault:?} at {place}"
+            );
+            while queue.put(&job(1)).await.is_err() {}
+            let mut elapsed_ms = 0;
+            let taken = loop {
+                let taken = queue.take(&"a".into(), lease, later(elapsed_ms)).await;
+                elapsed_ms += 5_000;
+                if let Ok(Some(taken)) = taken {
+                    break taken;
+                }
+            };
+            while queue.finish(&taken, done("x"), now()).await.is_err() {}
+            assert_eq!(
+                state(&queue, 1).await,
+                Some(done("x")),
+                "{fault:?} at {place}"
+            );
+            assert!(queue.list(9).await.unwrap().is_empty());
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn polls_cost_no_more_reads_than_their_interval_allows() {
+    let kv = FaultyKeyValue::new();
+    let queue = queue(&kv);
+    let lease = lease(&kv).await;
+    let before = kv.read_count();
+    for step in 0..1_000 {
+        let taken = queue.take(&"a".into(), lease, later(step * 10)).await;
+        assert!(taken.unwrap().is_none());
+    }
+    // Two polls in ten seconds, each of two listings.
+    assert_eq!(kv.read_count() - before, 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_result_is_kept_for_its_time_and_then_deleted() {
+    let kv = FaultyKeyValue::new();
+    let queue = queue(&kv);
+    queue.put(&job(1)).await.unwrap();
+    queue.finish(&job(1), done("x"), now()).await.unwrap();
+    let retention_ms = QueueSettings::default().retention_ms;
+    assert_eq!(queue.expire(9, later(retention_ms - 1)).await.unwrap(), 0);
+    assert_eq!(queue.expire(9, later(retention_ms)).await.unwrap(), 1);
+    let left = kv.store.list("deferred/", None, 9).await.unwrap();
+    assert!(left.entries.is_empty(), "{left:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wrong_job_or_end_is_refused() {
+    let kv = FaultyKeyValue::new();
+    let queue = queue(&kv);
+    queue.put(&job(1)).await.unwrap();
+    let mut other = job(1);
+    other.body = "[]".to_owned();
+    let mut huge = job(2);
+    huge.body = "x".repeat(1 << 20);
+    let errors = [
+        queue.put(&other).await.unwrap_err(),
+        queue.put(&huge).await.unwrap_err(),
+        queue
+            .finish(&job(1), JobState::Running, now())
+            .await
+            .unwrap_err(),
+    ];
+    let lines = errors.map(|error| error.to_string());
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    ledger: another job has this id; draw a new one
+    ledger: record of 1048742 bytes; keep it under 921600
+    ledger: a job ends as done or failed; give its answer or the reason
+    ");
+}
