Guard roll-outs by a sequential test with a stated false-alarm ratio

Cause: a test repeated after each request stops good versions, and a fixed window exposes many requests to bad ones.

Change: Guard pairs losses of a new version with losses of its baseline and bets against the hypothesis that it is no worse; nodes join their evidence, and requests without an outcome are bounded.

--- /dev/null
+++ b/crates/hemlockhitch_policy/src/guard/settings.rs
@@ -0,0 +1,128 @@
+//! Settings of the guard.
+
+use super::Metric;
+use super::wealth::{STAKE_COUNT, STAKES};
+
+/// When the guard stops a version.
+///
+/// ```
+/// use hemlockhitch_policy::guard::GuardSettings;
+///
+/// let settings = GuardSettings::new()
+///     .false_alarm_ratio(0.01)
+///     .slow_after_ms(2_000_u64)
+///     .outstanding_limit(16_u32);
+/// assert!(settings.pairs_to_stop(1.0).is_some());
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+#[must_use]
+pub struct GuardSettings {
+    /// The highest chance that a version which is no worse is ever stopped.
+    pub false_alarm_ratio: f64,
+    /// How much more of its requests a version may fail.
+    pub error_tolerance_ratio: f64,
+    /// How much worse the ratings of a version may be.
+    pub rating_tolerance_ratio: f64,
+    /// How much more of its requests a version may serve slowly.
+    pub slow_tolerance_ratio: f64,
+    /// From when a first token is slow.
+    pub slow_after_ms: u64,
+    /// The most requests of a watched version that run on the node at once.
+    pub outstanding_limit: u32,
+}
+
+impl GuardSettings {
+    /// Starts from the default settings.
+    pub fn new() -> Self {
+        Self {
+            false_alarm_ratio: 0.01,
+            error_tolerance_ratio: 0.02,
+            rating_tolerance_ratio: 0.03,
+            slow_tolerance_ratio: 0.05,
+            slow_after_ms: 2_000,
+            outstanding_limit: 16,
+        }
+    }
+
+    /// Sets the highest chance that a version which is no worse is ever
+    /// stopped.
+    pub fn false_alarm_ratio(mut self, ratio: impl Into<f64>) -> Self {
+        self.false_alarm_ratio = ratio.into();
+        self
+    }
+
+    /// Sets how much more of its requests a version may fail.
+    pub fn error_tolerance_ratio(mut self, ratio: impl Into<f64>) -> Self {
+        self.error_tolerance_ratio = ratio.into();
+        self
+    }
+
+    /// Sets how much worse the ratings of a version may be.
+    pub fn rating_tolerance_ratio(mut self, ratio: impl Into<f64>) -> Self {
+        self.rating_tolerance_ratio = ratio.into();
+        self
+    }
+
+    /// Sets how much more of its requests a version may serve slowly.
+    pub fn slow_tolerance_ratio(mut self, ratio: impl Into<f64>) -> Self {
+        self.slow_tolerance_ratio = ratio.into();
+        self
+    }
+
+    /// Sets from when a first token is slow, in milliseconds.
+    pub fn slow_after_ms(mut self, slow_after_ms: impl Into<u64>) -> Self {
+        self.slow_after_ms = slow_after_ms.into();
+        self
+    }
+
+    /// Sets the most requests of a watched version that run on the node at once.
+    pub fn outstanding_limit(mut self, limit: impl Into<u32>) -> Self {
+        self.outstanding_limit = limit.into();
+        self
+    }
+
+    /// Returns after how many comparisons a version is stopped in whose every
+    /// comparison errors exceed the baseline's by `gap_ratio`; or
+    /// `None` if such a version is tolerated.
+    ///
+    /// Requests exposed are at most this number times the requests in one
+    /// comparison, plus [`GuardSettings::outstanding_limit`].
+    #[must_use]
+    pub fn pairs_to_stop(&self, gap_ratio: impl Into<f64>) -> Option<u64> {
+        let tolerance_ratio = self.error_tolerance_ratio;
+        let excess_ratio = gap_ratio.into().min(1.0) - tolerance_ratio;
+        if excess_ratio <= 0.0 {
+            return None;
+        }
+        let needed_log = self.log_threshold() + STAKE_COUNT.ln();
+        let steps = STAKES.iter().map(|stake| {
+            let factor_log = (stake / (1.0 + tolerance_ratio) * excess_ratio).ln_1p();
+            (needed_log / factor_log).ceil()
+        });
+        let fewest = steps.fold(f64::MAX, f64::min);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        Some(fewest as u64)
+    }
+
+    pub(super) fn tolerance_ratio(&self, metric: Metric) -> f64 {
+        match metric {
+            Metric::Errors => self.error_tolerance_ratio,
+            Metric::Ratings => self.rating_tolerance_ratio,
+            Metric::Slow => self.slow_tolerance_ratio,
+        }
+    }
+
+    /// Returns the logarithm of the wealth at which a metric stops a version;
+    /// the false-alarm ratio is divided over the metrics.
+    pub(super) fn log_threshold(&self) -> f64 {
+        #[allow(clippy::cast_precision_loss)]
+        let metrics = Metric::ALL.len() as f64;
+        (metrics / self.false_alarm_ratio).ln()
+    }
+}
+
+impl Default for GuardSettings {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/hemlockhitch_policy/src/guard/wealth.rs
@@ -0,0 +1,74 @@
+//! The wealth of bets against the hypothesis that a version is no worse.
+
+use serde::{Deserialize, Serialize};
+
+use super::Metric;
+
+/// The parts of the wealth that are staked, each kept as a bet of its own.
+pub(super) const STAKES: [f64; 5] = [0.06, 0.15, 0.35, 0.65, 0.95];
+
+/// The logarithms of the wealth of each bet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) struct Wealth {
+    log_by_stake: [f64; STAKES.len()],
+    pairs: u64,
+}
+
+impl Wealth {
+    /// Stakes on a gap above the tolerance.
+    ///
+    /// The expected factor is at most 1 when the expected gap is at most the
+    /// tolerance, so the wealth is a supermartingale under that hypothesis.
+    pub(super) fn bet(&mut self, gap_ratio: f64, tolerance_ratio: f64) {
+        for (log, stake) in self.log_by_stake.iter_mut().zip(STAKES) {
+            let stake = stake / (1.0 + tolerance_ratio);
+            *log += (stake * (gap_ratio - tolerance_ratio)).ln_1p();
+        }
+        self.pairs += 1;
+    }
+
+    /// Multiplies the wealth of independent bets.
+    pub(super) fn times(self, other: &Self) -> Self {
+        let mut product = self;
+        for (log, other) in product.log_by_stake.iter_mut().zip(other.log_by_stake) {
+            *log += other;
+        }
+        product.pairs += other.pairs;
+        product
+    }
+
+    /// Returns the logarithm of the mean wealth over the stakes.
+    pub(super) fn log_value(&self) -> f64 {
+        let highest = self.log_by_stake.iter().copied().fold(f64::MIN, f64::max);
+        let scaled = self.log_by_stake.iter().map(|log| (log - highest).exp());
+        highest + (scaled.sum::<f64>() / STAKE_COUNT).ln()
+    }
+
+    pub(super) fn pairs(&self) -> u64 {
+        self.pairs
+    }
+}
+
+/// Number of stakes.
+#[allow(clippy::cast_precision_loss)]
+pub(super) const STAKE_COUNT: f64 = STAKES.len() as f64;
+
+/// What one node has seen of a roll-out, in a form that peers can join.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Evidence {
+    wealth: [Wealth; Metric::ALL.len()],
+}
+
+impl Evidence {
+    pub(super) fn of(wealth: [&Wealth; Metric::ALL.len()]) -> Self {
+        Self {
+            wealth: wealth.map(|wealth| *wealth),
+        }
+    }
+
+    pub(super) fn wealth(&self, metric: Metric) -> &Wealth {
+        &self.wealth[metric.index()]
+    }
+}
--- a/crates/hemlockhitch_policy/src/lib.rs
+++ b/crates/hemlockhitch_policy/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod bearing;
 pub mod endpoint;
+pub mod guard;
 pub mod version;
