--- a/crates/hemlockhitch_policy/src/lib.rs
+++ b/crates/hemlockhitch_policy/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod bearing;
 pub mod endpoint;
 pub mod guard;
+pub mod retry;
 pub mod version;
