--- a/crates/hemlockhitch_ledger/tests/common/faulty.rs
+++ b/crates/hemlockhitch_ledger/tests/common/faulty.rs
@@ -33,6 +33,8 @@
 /// The delay of [`Fault::Slow`] and [`Fault::LateEffect`].
 const DELAY: Duration = Duration::from_millis(300);
 
+const HOLD_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
 /// A store whose next calls meet faults; clones share the store, and the faults
 /// unless they are made by [`FaultyKeyValue::beside`].
 #[derive(Clone, Debug, Default)]
@@ -45,6 +47,9 @@
 struct Faults {
     swaps: VecDeque<Fault>,
     is_down: bool,
+    refused: Option<&'static str>,
+    holds_gets: bool,
+    holds_lists: bool,
     swap_count: u64,
     read_count: u64,
 }
@@ -72,6 +77,21 @@
         self.faults().is_down = is_down;
     }
 
+    /// Lets every swap of a key that contains `part` fail.
+    pub fn refuse(&self, part: Option<&'static str>) {
+        self.faults().refused = part;
+    }
+
+    /// Lets reads wait until it is called with `false`.
+    pub fn hold_gets(&self, holds: bool) {
+        self.faults().holds_gets = holds;
+    }
+
+    /// Lets listings wait until it is called with `false`.
+    pub fn hold_lists(&self, holds: bool) {
+        self.faults().holds_lists = holds;
+    }
+
     pub fn swap_count(&self) -> u64 {
         self.faults().swap_count
     }
@@ -90,10 +110,10 @@
         if faults.is_down { Err(down()) } else { Ok(()) }
     }
 
-    fn next_fault(&self) -> Fault {
+    fn next_fault(&self, key: &str) -> Fault {
         let mut faults = self.faults();
         faults.swap_count += 1;
-        if faults.is_down {
+        if faults.is_down || faults.refused.is_some_and(|part| key.contains(part)) {
             return Fault::Down;
         }
         faults.swaps.pop_front().unwrap_or(Fault::None)
@@ -110,6 +130,9 @@
 
 impl KeyValue for FaultyKeyValue {
     async fn get(&self, key: &str) -> Result<Option<Entry>, KeyValueError> {
+        while self.faults().holds_gets {
+            sleep(HOLD_CHECK_INTERVAL).await;
+        }
         self.read()?;
         self.store.get(key).await
     }
@@ -120,12 +143,15 @@
         after: Option<&str>,
         limit: usize,
     ) -> Result<Listing, KeyValueError> {
+        while self.faults().holds_lists {
+            sleep(HOLD_CHECK_INTERVAL).await;
+        }
         self.read()?;
         self.store.list(prefix, after, limit).await
     }
 
     async fn swap(&self, swap: Swap) -> Result<SwapOutcome, KeyValueError> {
-        match self.next_fault() {
+        match self.next_fault(&swap.key) {
             Fault::None => self.store.swap(swap).await,
             Fault::Down => Err(down()),
             Fault::LostCall => Err(lost()),
--- a/crates/hemlockhitch_peer/tests/support/mod.rs
+++ b/crates/hemlockhitch_peer/tests/support/mod.rs
@@ -1,16 +1,18 @@
 //! A fleet of nodes inside one process, with faults that tests switch on.
 #![allow(dead_code)]
 
+pub mod frozen;
+
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hemlockhitch_config::configuration::{Row, Version};
-use hemlockhitch_config::{Change, Configuration, RowEdit};
+use hemlockhitch_config::{Change, Configuration, NumberedChange, RowEdit};
 use hemlockhitch_ledger::call::{LedgerCall, LedgerReply, LedgerService};
 use hemlockhitch_model::{ChangeId, Clock, Now, SystemClock};
-use hemlockhitch_peer::feed::{ConfigurationSource, NumberedChange, SourceError};
+use hemlockhitch_peer::feed::{ConfigurationSource, SourceError};
 use hemlockhitch_peer::{Fitness, PeerSettings, Peers};
 use hemlockhitch_platform::key_value::{
     Entry, KeyValue, KeyValueError, KeyValueErrorKind, LeaseId, Listing, MemoryKeyValue, Swap,
@@ -66,7 +68,7 @@
     /// Cuts every node off from the store, or ends the cut.
     pub fn store_down(&self, down: bool) {
         self.store.down.store(down, Ordering::SeqCst);
-        self.source.down.store(down, Ordering::SeqCst);
+        self.source.set_down(down);
     }
 
     /// Starts a node and puts it on the VM list.
@@ -98,6 +100,11 @@
 
     /// Starts nodes `n1`, `n2`, … and waits until each knows all as serving.
     pub async fn fleet(&self, count: usize) -> Vec<Peers> {
+        self.fleet_beside(count, 0).await
+    }
+
+    /// Starts nodes beside `others` that run already.
+    pub async fn fleet_beside(&self, count: usize, others: usize) -> Vec<Peers> {
         let mut fleet = Vec::new();
         for number in 1..=count {
             fleet.push(self.start(&format!("n{number}")).await);
@@ -105,7 +112,7 @@
         until("all serving", || {
             fleet.iter().all(|peers| {
                 let serving = peers.members().iter().filter(|m| m.may_own()).count();
-                serving == count
+                serving == count + others
             })
         })
         .await;
@@ -159,9 +166,22 @@
     changes: Arc<Mutex<Vec<Change>>>,
     pub down: Arc<AtomicBool>,
     pub reads: Arc<AtomicU64>,
+    down_since: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Changes {
+    /// Whether the store has been down for so long that no node counts on it.
+    pub fn is_silent(&self) -> bool {
+        let down_since = self.down_since.lock().unwrap();
+        let bound = Duration::from_millis(2 * settings().self_stop_ms);
+        down_since.is_some_and(|since| since.elapsed() > bound)
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+        *self.down_since.lock().unwrap() = down.then(Instant::now);
+    }
+
     /// Stores one more change and returns it with its generation.
     pub fn accept(&self) -> NumberedChange {
         let mut changes = self.changes.lock().unwrap();
@@ -242,6 +262,8 @@
     /// The next write takes effect and its answer is lost.
     pub lose_answer: Arc<AtomicBool>,
     pub calls: Arc<AtomicU64>,
+    /// Writes wait for as long as this holds.
+    pub hold_writes: Arc<AtomicBool>,
 }
 
 impl FaultyStore {
@@ -272,6 +294,9 @@
 
     async fn swap(&self, swap: Swap) -> Result<SwapOutcome, KeyValueError> {
         self.check()?;
+        while self.hold_writes.load(Ordering::SeqCst) {
+            sleep(Duration::from_millis(10)).await;
+        }
         let outcome = self.inner.swap(swap).await;
         if self.lose_answer.swap(false, Ordering::SeqCst) {
             return Err(KeyValueError::new(KeyValueErrorKind::Unknown, "lost"));
