Measure the key-value store and mend a needless wait

The new bench showed a p50 of 1,323.6 µs for a read of 1 KB over loopback.

Cause: the stand-ins slept for their set delay even when it was 0 ms, and the timer rounds that up to its next tick. Ruled out: the store itself, at 0.1 µs, and the client, since every call took the same time whatever its size.

Change: a shared delay that returns at once for 0 ms, and a stand-in that reads the key of a write only when a fault depends on it.

--- /dev/null
+++ b/crates/hemlockhitch_platform/benches/store.rs
@@ -0,0 +1,132 @@
+//! Times of calls to the key-value service: the store in memory alone, and the
+//! HTTP client with the stand-in over loopback.
+//!
+//! Run with `cargo bench -p hemlockhitch_platform --bench store`.
+
+use std::time::{Duration, Instant};
+
+use hemlockhitch_platform::key_value::{Expected, HttpKeyValue, KeyValue, MemoryKeyValue, Swap};
+use hemlockhitch_standin::key_value::start_with;
+use tokio::sync::mpsc;
+
+/// Calls that are not timed, so that connections and caches are warm.
+const WARM_UP_CALLS: usize = 200;
+
+/// Timed calls of each kind.
+const CALLS: usize = 5_000;
+
+/// Timed calls of each kind with a large value.
+const LARGE_CALLS: usize = 100;
+
+const SMALL_VALUE_BYTES: usize = 1_000;
+const LARGE_VALUE_BYTES: usize = 1_000_000;
+
+/// Entries in the store that no timed call touches.
+const OTHER_ENTRIES: [usize; 2] = [0, 100_000];
+
+/// The longest wait of a watch, in milliseconds.
+const WAIT_MS: u64 = 60_000;
+
+#[tokio::main]
+async fn main() {
+    println!("| client | other entries | call | p50 µs | p99 µs |");
+    println!("|---|--:|---|--:|--:|");
+    for entries in OTHER_ENTRIES {
+        let store = MemoryKeyValue::new();
+        for index in 0..entries {
+            write(&store, &format!("other/{index:06}"), "").await;
+        }
+        let standin = start_with(([127, 0, 0, 1], 0).into(), store.clone()).await;
+        let standin = standin.expect("a free port");
+        let client = HttpKeyValue::new(standin.address().to_string());
+        measure("memory", entries, &store).await;
+        measure("HTTP", entries, &client).await;
+    }
+}
+
+async fn measure(client: &str, entries: usize, store: &impl KeyValue) {
+    let small = "x".repeat(SMALL_VALUE_BYTES);
+    let large = "x".repeat(LARGE_VALUE_BYTES);
+    write(store, "bench/read", &small).await;
+    let created = format!("bench/{client}/");
+    let report = |call: &str, times: Vec<Duration>| report(client, entries, call, times);
+
+    let times = time(CALLS, |_| async {
+        store.get("bench/read").await.expect("an answer");
+    });
+    report("get, 1 KB", times.await);
+    let times = time(CALLS, |index| {
+        let key = format!("{created}{index}");
+        let small = &small;
+        async move { write(store, &key, small).await }
+    });
+    report("create, 1 KB", times.await);
+    let times = time(LARGE_CALLS, |_| write(store, "bench/large", &large));
+    report("write, 1 MB", times.await);
+    let times = time(CALLS, |_| async {
+        let listed = store.list(&created, None, 10).await;
+        listed.expect("an answer");
+    });
+    report("list, 10 entries", times.await);
+    let revision = store.list("", None, 0).await.expect("an answer").revision;
+    let times = time(CALLS, |_| async {
+        let watched = store.watch("none/", revision, 0).await;
+        watched.expect("an answer");
+    });
+    report("watch, no change", times.await);
+    report("write to watch", time_wake_ups(store).await);
+}
+
+/// Times calls one after the other.
+async fn time<F: Future<Output = ()>>(
+    calls: usize,
+    mut call: impl FnMut(usize) -> F,
+) -> Vec<Duration> {
+    let mut times = Vec::with_capacity(calls);
+    for index in 0..calls + WARM_UP_CALLS {
+        let start = Instant::now();
+        call(index).await;
+        times.push(start.elapsed());
+    }
+    times.split_off(WARM_UP_CALLS)
+}
+
+/// Times from the call of a write to the answer of a watch that waits for it.
+async fn time_wake_ups(store: &impl KeyValue) -> Vec<Duration> {
+    let (seen, mut wake_ups) = mpsc::channel(1);
+    let mut revision = store.list("", None, 0).await.expect("an answer").revision;
+    let watcher = store.clone();
+    let watch = tokio::spawn(async move {
+        loop {
+            let watched = watcher.watch("wake/", revision, WAIT_MS).await;
+            revision = watched.expect("an answer").revision;
+            if seen.send(Instant::now()).await.is_err() {
+                return;
+            }
+        }
+    });
+    let mut times = Vec::with_capacity(CALLS);
+    for _ in 0..CALLS {
+        let start = Instant::now();
+        write(store, "wake/key", "").await;
+        let seen_at = wake_ups.recv().await.expect("the watch goes on");
+        times.push(seen_at.saturating_duration_since(start));
+    }
+    watch.abort();
+    times
+}
+
+async fn write(store: &impl KeyValue, key: &str, value: &str) {
+    let swap = Swap {
+        expected: Expected::Any,
+        ..Swap::create(key, value)
+    };
+    store.swap(swap).await.expect("an answer");
+}
+
+fn report(client: &str, entries: usize, call: &str, mut times: Vec<Duration>) {
+    times.sort();
+    let percentile = |percent: usize| times[times.len() * percent / 100].as_nanos() as f64 / 1e3;
+    let (p50, p99) = (percentile(50), percentile(99));
+    println!("| {client} | {entries} | {call} | {p50:.1} | {p99:.1} |");
+}
--- a/crates/hemlockhitch_standin/src/key_value/faults.rs
+++ b/crates/hemlockhitch_standin/src/key_value/faults.rs
@@ -54,8 +54,9 @@
         }
     }
 
-    /// Decides whether the answer of a write to `key` is lost, and counts it.
-    pub(super) fn loses_answer(&self, key: Option<&str>) -> bool {
+    /// Decides whether the answer of a write is lost, and counts it. The key of
+    /// the write is read only when a fault depends on it.
+    pub(super) fn loses_answer(&self, key: impl FnOnce() -> Option<String>) -> bool {
         let mut lost = false;
         self.faults.send_modify(|faults| {
             lost = faults.lost_answers > 0 || faults.covers(key);
@@ -66,10 +67,10 @@
 }
 
 impl Faults {
-    fn covers(&self, key: Option<&str>) -> bool {
-        let prefix = self.lost_prefix.as_deref();
-        prefix
-            .zip(key)
-            .is_some_and(|(prefix, key)| key.starts_with(prefix))
+    fn covers(&self, key: impl FnOnce() -> Option<String>) -> bool {
+        let Some(prefix) = &self.lost_prefix else {
+            return false;
+        };
+        key().is_some_and(|key| key.starts_with(prefix))
     }
 }
--- a/crates/hemlockhitch_standin/src/key_value/service.rs
+++ b/crates/hemlockhitch_standin/src/key_value/service.rs
@@ -2,7 +2,6 @@
 
 use std::future::Future;
 use std::io;
-use std::time::Duration;
 
 use bytes::Bytes;
 use hemlockhitch_platform::key_value::message::{
@@ -18,10 +17,9 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::time::sleep;
 
 use super::{CALLS_PATH, FAULTS_PATH, FaultSwitch, Faults};
-use crate::server::{Handled, json_answer, read_body};
+use crate::server::{Handled, delay, json_answer, read_body};
 
 /// The state of a running service; clones share it.
 #[derive(Clone, Debug)]
@@ -81,7 +79,7 @@
         if faults.down {
             return Err(broken());
         }
-        sleep(Duration::from_millis(faults.delay_ms)).await;
+        delay(faults.delay_ms).await;
         Ok(())
     }
 
@@ -119,7 +117,7 @@
     async fn write(&self, path: &str, body: &Bytes) -> Handled {
         self.begin(CallKind::Write).await?;
         let answered = self.carry_out(path, body).await;
-        if self.faults.loses_answer(written_key(path, body).as_deref()) {
+        if self.faults.loses_answer(|| written_key(path, body)) {
             return Err(broken());
         }
         answered
--- a/crates/hemlockhitch_standin/src/rating/mod.rs
+++ b/crates/hemlockhitch_standin/src/rating/mod.rs
@@ -18,15 +18,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 
 use bytes::Bytes;
 use hemlockhitch_platform::rating::{RATE_PATH, RatingRequest};
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
-use tokio::time::sleep;
 
-use crate::server::{Handled, Server, json_answer, read_body};
+use crate::server::{Handled, Server, delay, json_answer, read_body};
 
 /// The path that [`RatingSettings`] are posted to.
 pub const SETTINGS_PATH: &str = "/settings";
@@ -100,7 +98,7 @@
         if settings.down {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
-        sleep(Duration::from_millis(settings.delay_ms)).await;
+        delay(settings.delay_ms).await;
         match settings.rate(&request) {
             Some(rating) => json_answer(StatusCode::OK, &rating),
             None => json_answer(StatusCode::NOT_FOUND, &"this answer is not rated"),
--- a/crates/hemlockhitch_standin/src/server/mod.rs
+++ b/crates/hemlockhitch_standin/src/server/mod.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
@@ -16,6 +17,7 @@
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::sleep;
 
 /// The body of a stand-in's answer; an error in it breaks the connection.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
@@ -89,6 +91,14 @@
     let _ = connection.await;
 }
 
+/// Waits before an answer. No delay takes no time, whereas the timer would
+/// round it up to its next tick.
+pub async fn delay(delay_ms: u64) {
+    if delay_ms > 0 {
+        sleep(Duration::from_millis(delay_ms)).await;
+    }
+}
+
 /// Reads the whole body of a request.
 ///
 /// # Errors
--- a/crates/hemlockhitch_standin/src/vm_list/mod.rs
+++ b/crates/hemlockhitch_standin/src/vm_list/mod.rs
@@ -23,9 +23,9 @@
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
-use crate::server::{Handled, Server, json_answer, read_body};
+use crate::server::{Handled, Server, delay, json_answer, read_body};
 use editions::Editions;
 
 /// The path that [`VmListSettings`] are posted to.
@@ -117,7 +117,7 @@
         if settings.down {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
-        sleep(Duration::from_millis(settings.delay_ms)).await;
+        delay(settings.delay_ms).await;
         let lag = Duration::from_millis(settings.lag_ms);
         let vms = self.state().editions.as_of(Instant::now(), lag);
         json_answer(StatusCode::OK, &vms)
--- a/crates/hemlockhitch_standin/src/weights/mod.rs
+++ b/crates/hemlockhitch_standin/src/weights/mod.rs
@@ -25,9 +25,9 @@
 use hemlockhitch_platform::weights::{RESERVE_PATH, ReserveRefusal, ReserveRequest, Reserved};
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
-use crate::server::{Handled, Server, json_answer, read_body};
+use crate::server::{Handled, Server, delay, json_answer, read_body};
 use rate_limit::RateLimit;
 
 /// The path that [`WeightsSettings`] are posted to.
@@ -106,7 +106,7 @@
         if settings.down {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
-        sleep(Duration::from_millis(settings.delay_ms)).await;
+        delay(settings.delay_ms).await;
         if settings.missing.contains(&request.version) {
             return json_answer(StatusCode::NOT_FOUND, &ReserveRefusal::Missing);
         }
