Share what the HTTP clients of the platform have in common

The rating stand-in's command line refuses ratios outside 0 to 1, and setting faults over HTTP is tested: a misspelt fault is refused and leaves the former ones.

--- a/crates/hemlockhitch_platform/src/key_value/http.rs
+++ b/crates/hemlockhitch_platform/src/key_value/http.rs
@@ -1,8 +1,6 @@
 //! The client of a key-value service that speaks HTTP and JSON.
 
-use std::time::Duration;
-
-use hemlockhitch_client::{HttpClient, HttpError, HttpErrorKind};
+use hemlockhitch_client::{HttpError, HttpErrorKind};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -15,16 +13,14 @@
     Entry, KeyValue, KeyValueError, KeyValueErrorKind, LeaseId, Listing, Swap, SwapOutcome,
     WatchBatch,
 };
-use crate::{CallKind, DEFAULT_LIMIT_MS, StoreCalls};
+use crate::http_service::HttpService;
+use crate::{CallKind, StoreCalls};
 
 /// A client of a key-value service over HTTP; clones share connections and
 /// counters.
 #[derive(Clone, Debug)]
 pub struct HttpKeyValue {
-    client: HttpClient,
-    address: String,
-    limit_ms: u64,
-    calls: StoreCalls,
+    service: HttpService,
 }
 
 impl HttpKeyValue {
@@ -32,44 +28,21 @@
     #[must_use]
     pub fn new(address: impl Into<String>) -> Self {
         Self {
-            client: HttpClient::new(),
-            address: address.into(),
-            limit_ms: DEFAULT_LIMIT_MS,
-            calls: StoreCalls::default(),
+            service: HttpService::new(address),
         }
     }
 
     /// Sets how long a call may take, in milliseconds; a watch adds its wait.
     #[must_use]
     pub fn limit_ms(mut self, limit_ms: u64) -> Self {
-        self.limit_ms = limit_ms;
+        self.service.set_limit_ms(limit_ms);
         self
     }
 
     /// Returns the counters of the calls made through this client.
     #[must_use]
     pub fn calls(&self) -> StoreCalls {
-        self.calls.clone()
-    }
-
-    async fn call<T: DeserializeOwned>(
-        &self,
-        kind: CallKind,
-        path: &str,
-        message: &impl Serialize,
-        limit_ms: u64,
-    ) -> Result<T, KeyValueError> {
-        self.calls.count(kind);
-        let limit = Duration::from_millis(limit_ms);
-        let answer = self
-            .client
-            .post_json(&self.address, path, message, limit)
-            .await;
-        answer.map_err(|error| {
-            let error = translate(&error, kind);
-            log_failure(path, &error);
-            error
-        })
+        self.service.calls()
     }
 
     async fn read<T: DeserializeOwned>(
@@ -77,8 +50,8 @@
         path: &str,
         message: &impl Serialize,
     ) -> Result<T, KeyValueError> {
-        self.call(CallKind::Read, path, message, self.limit_ms)
-            .await
+        let answer = self.service.post(CallKind::Read, path, message).await;
+        answer.map_err(|error| failed(path, &error, CallKind::Read))
     }
 
     async fn write<T: DeserializeOwned>(
@@ -86,8 +59,8 @@
         path: &str,
         message: &impl Serialize,
     ) -> Result<T, KeyValueError> {
-        self.call(CallKind::Write, path, message, self.limit_ms)
-            .await
+        let answer = self.service.post(CallKind::Write, path, message).await;
+        answer.map_err(|error| failed(path, &error, CallKind::Write))
     }
 }
 
@@ -126,9 +99,11 @@
             revision,
             wait_ms,
         };
-        let limit_ms = self.limit_ms.saturating_add(wait_ms);
-        self.call(CallKind::Watch, WATCH_PATH, &request, limit_ms)
-            .await
+        let answer = self
+            .service
+            .post_and_wait(CallKind::Watch, WATCH_PATH, &request, wait_ms)
+            .await;
+        answer.map_err(|error| failed(WATCH_PATH, &error, CallKind::Watch))
     }
 
     async fn lease_grant(&self, ttl_ms: u64) -> Result<LeaseId, KeyValueError> {
@@ -151,6 +126,13 @@
     }
 }
 
+/// Translates and logs a failure.
+fn failed(path: &str, error: &HttpError, kind: CallKind) -> KeyValueError {
+    let error = translate(error, kind);
+    log(path, &error);
+    error
+}
+
 fn translate(error: &HttpError, kind: CallKind) -> KeyValueError {
     let detail = error.to_string();
     match error.kind() {
@@ -192,7 +174,7 @@
     }
 }
 
-fn log_failure(path: &str, error: &KeyValueError) {
+fn log(path: &str, error: &KeyValueError) {
     match error.kind() {
         KeyValueErrorKind::Unknown => {
             tracing::warn!(event = "HH0102", path, %error, "write of unknown effect");
--- a/crates/hemlockhitch_platform/src/lib.rs
+++ b/crates/hemlockhitch_platform/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod calls;
+mod http_service;
 
 pub mod key_value;
 pub mod rating;
@@ -21,7 +22,3 @@
 pub mod weights;
 
 pub use calls::{CallKind, StoreCallCounts, StoreCalls};
-
-/// How long a call may take unless the client is told otherwise, in
-/// milliseconds.
-pub const DEFAULT_LIMIT_MS: u64 = 1_000;
--- a/crates/hemlockhitch_platform/src/rating/http.rs
+++ b/crates/hemlockhitch_platform/src/rating/http.rs
@@ -1,11 +1,8 @@
 //! The client of a rating service that speaks HTTP and JSON.
 
-use std::time::Duration;
-
-use hemlockhitch_client::HttpClient;
-
 use super::{Rating, RatingError, RatingRequest, RatingService};
-use crate::{CallKind, DEFAULT_LIMIT_MS, StoreCalls};
+use crate::http_service::HttpService;
+use crate::{CallKind, StoreCalls};
 
 /// The path that a [`RatingRequest`] is posted to; answered by a [`Rating`].
 pub const RATE_PATH: &str = "/rate";
@@ -14,10 +11,7 @@
 /// counters.
 #[derive(Clone, Debug)]
 pub struct HttpRating {
-    client: HttpClient,
-    address: String,
-    limit_ms: u64,
-    calls: StoreCalls,
+    service: HttpService,
 }
 
 impl HttpRating {
@@ -25,35 +19,27 @@
     #[must_use]
     pub fn new(address: impl Into<String>) -> Self {
         Self {
-            client: HttpClient::new(),
-            address: address.into(),
-            limit_ms: DEFAULT_LIMIT_MS,
-            calls: StoreCalls::default(),
+            service: HttpService::new(address),
         }
     }
 
     /// Sets how long a call may take, in milliseconds.
     #[must_use]
     pub fn limit_ms(mut self, limit_ms: u64) -> Self {
-        self.limit_ms = limit_ms;
+        self.service.set_limit_ms(limit_ms);
         self
     }
 
     /// Returns the counters of the calls made through this client.
     #[must_use]
     pub fn calls(&self) -> StoreCalls {
-        self.calls.clone()
+        self.service.calls()
     }
 }
 
 impl RatingService for HttpRating {
     async fn rate(&self, request: RatingRequest) -> Result<Rating, RatingError> {
-        self.calls.count(CallKind::Read);
-        let limit = Duration::from_millis(self.limit_ms);
-        let answer = self
-            .client
-            .post_json(&self.address, RATE_PATH, &request, limit)
-            .await;
+        let answer = self.service.post(CallKind::Read, RATE_PATH, &request).await;
         let rating = answer.map_err(|error| failed(error.to_string()))?;
         check_range(rating)
     }
--- a/crates/hemlockhitch_platform/src/weights/http.rs
+++ b/crates/hemlockhitch_platform/src/weights/http.rs
@@ -1,21 +1,17 @@
 //! The client of a weight store that speaks HTTP and JSON.
 
-use std::time::Duration;
-
-use hemlockhitch_client::{HttpClient, HttpError};
+use hemlockhitch_client::HttpError;
 use hemlockhitch_model::VersionName;
 
 use super::message::{RESERVE_PATH, ReserveRefusal, ReserveRequest, Reserved};
 use super::{WeightStore, WeightsError};
-use crate::{CallKind, DEFAULT_LIMIT_MS, StoreCalls};
+use crate::http_service::HttpService;
+use crate::{CallKind, StoreCalls};
 
 /// A client of a weight store over HTTP; clones share connections and counters.
 #[derive(Clone, Debug)]
 pub struct HttpWeights {
-    client: HttpClient,
-    address: String,
-    limit_ms: u64,
-    calls: StoreCalls,
+    service: HttpService,
 }
 
 impl HttpWeights {
@@ -23,37 +19,32 @@
     #[must_use]
     pub fn new(address: impl Into<String>) -> Self {
         Self {
-            client: HttpClient::new(),
-            address: address.into(),
-            limit_ms: DEFAULT_LIMIT_MS,
-            calls: StoreCalls::default(),
+            service: HttpService::new(address),
         }
     }
 
     /// Sets how long a call may take, in milliseconds.
     #[must_use]
     pub fn limit_ms(mut self, limit_ms: u64) -> Self {
-        self.limit_ms = limit_ms;
+        self.service.set_limit_ms(limit_ms);
         self
     }
 
     /// Returns the counters of the calls made through this client.
     #[must_use]
     pub fn calls(&self) -> StoreCalls {
-        self.calls.clone()
+        self.service.calls()
     }
 }
 
 impl WeightStore for HttpWeights {
     async fn reserve(&self, version: &VersionName) -> Result<(), WeightsError> {
-        self.calls.count(CallKind::Write);
-        let limit = Duration::from_millis(self.limit_ms);
         let request = ReserveRequest {
             version: version.clone(),
         };
         let answer = self
-            .client
-            .post_json(&self.address, RESERVE_PATH, &request, limit)
+            .service
+            .post(CallKind::Write, RESERVE_PATH, &request)
             .await;
         let Reserved {} = answer.map_err(|error| translate(&error, version))?;
         Ok(())
--- a/crates/hemlockhitch_platform/tests/key_value_faults.rs
+++ b/crates/hemlockhitch_platform/tests/key_value_faults.rs
@@ -1,9 +1,14 @@
 //! What the HTTP client reports when the key-value service fails.
 
+use std::time::Duration;
+
+use hemlockhitch_client::HttpClient;
+use hemlockhitch_platform::StoreCallCounts;
+use hemlockhitch_platform::key_value::message::Done;
 use hemlockhitch_platform::key_value::{
     HttpKeyValue, KeyValue, KeyValueError, KeyValueErrorKind, Swap,
 };
-use hemlockhitch_standin::key_value::{Faults, KeyValueStandin, start};
+use hemlockhitch_standin::key_value::{CALLS_PATH, FAULTS_PATH, Faults, KeyValueStandin, start};
 use hemlockhitch_standin::server::{Server, answer};
 use http::StatusCode;
 use tokio::net::TcpStream;
@@ -209,6 +214,26 @@
     insta::assert_snapshot!(format!("{counts:?}"), @"StoreCallCounts { reads: 3, writes: 4, watches: 1 }");
 }
 
+#[tokio::test]
+async fn faults_are_set_and_calls_read_over_http() {
+    let standin = standin().await;
+    client(&standin, LONG_LIMIT_MS).get("a/1").await.unwrap();
+    let address = standin.address().to_string();
+    let limit = Duration::from_millis(LONG_LIMIT_MS);
+    let http = HttpClient::new();
+    let set = async |faults: &str| {
+        let faults: serde_json::Value = serde_json::from_str(faults).unwrap();
+        let answer = http.post_json::<Done>(&address, FAULTS_PATH, &faults, limit);
+        answer.await.is_ok()
+    };
+    assert!(set(r#"{"lost_answers": 2}"#).await);
+    assert!(!set(r#"{"lost_answer": 3}"#).await);
+    assert_eq!(standin.faults().get().lost_answers, 2);
+    let counts: StoreCallCounts = http.get_json(&address, CALLS_PATH, limit).await.unwrap();
+    assert_eq!(counts, standin.calls());
+    assert_eq!(counts.reads, 1);
+}
+
 async fn standin() -> KeyValueStandin {
     start(([127, 0, 0, 1], 0).into()).await.unwrap()
 }
--- a/crates/hemlockhitch_standin/examples/standin_rating.rs
+++ b/crates/hemlockhitch_standin/examples/standin_rating.rs
@@ -37,8 +37,8 @@
     };
     let settings = RatingSettings {
         versions: command_line::values(&matches, "quality")?,
-        spread_ratio: command_line::value_or_default(&matches, "spread")?,
-        missing_ratio: command_line::value_or_default(&matches, "missing")?,
+        spread_ratio: command_line::ratio_or_zero(&matches, "spread")?,
+        missing_ratio: command_line::ratio_or_zero(&matches, "missing")?,
         delay_ms: command_line::value_or_default(&matches, "delay-ms")?,
         down: matches.opt_present("down"),
         ..RatingSettings::default()
--- a/crates/hemlockhitch_standin/src/command_line.rs
+++ b/crates/hemlockhitch_standin/src/command_line.rs
@@ -86,6 +86,23 @@
     text.map_or_else(|| Ok(T::default()), |text| read_value(option, &text))
 }
 
+/// Returns the value of an option that is a ratio, or 0.
+///
+/// # Errors
+///
+/// Fails when the value is not a number from 0 to 1.
+pub fn ratio_or_zero(matches: &Matches, option: &str) -> Result<f64, CommandLineError> {
+    let ratio: f64 = value_or_default(matches, option)?;
+    if (0.0..=1.0).contains(&ratio) {
+        return Ok(ratio);
+    }
+    Err(CommandLineError::Value {
+        option: option.to_owned(),
+        value: ratio.to_string(),
+        detail: "use a number from 0 to 1".to_owned(),
+    })
+}
+
 /// Returns every value of an option that may be given repeatedly.
 ///
 /// # Errors
