--- /dev/null
+++ b/crates/hemlockhitch_config/benches/compile.rs
@@ -0,0 +1,37 @@
+//! What one change of the configuration costs a node at full size.
+
+mod support;
+
+use std::hint::black_box;
+
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use hemlockhitch_config::configuration::{Endpoint, Row};
+use hemlockhitch_config::{Configuration, RoutingTable, check};
+
+use support::{change, endpoint, rows};
+
+fn full_size(c: &mut Criterion) {
+    let mut configuration = Configuration::default();
+    configuration.apply(&change(rows()));
+    let one_row = change([Row::Endpoint(Endpoint {
+        out: true,
+        ..endpoint(7)
+    })]);
+    c.bench_function("compile", |b| {
+        b.iter(|| RoutingTable::compile(black_box(&configuration)));
+    });
+    c.bench_function("clone", |b| b.iter(|| black_box(&configuration).clone()));
+    c.bench_function("apply one row", |b| {
+        b.iter_batched_ref(
+            || configuration.clone(),
+            |configuration| configuration.apply(&one_row),
+            BatchSize::LargeInput,
+        );
+    });
+    c.bench_function("check", |b| {
+        b.iter(|| check::faults(configuration.present_rows().map(|(_, row)| row)));
+    });
+}
+
+criterion_group!(benches, full_size);
+criterion_main!(benches);
