Split the member table, and keep more connections to owners

Ruled out: the digests, which grew by 1.2 kB/s only. A node keeps up to 256 connections now.

The member table's choices, its rules for one member and the answer on generations in force are modules of their own, without a change of behaviour.

--- a/crates/hemlockhitch_peer/src/client.rs
+++ b/crates/hemlockhitch_peer/src/client.rs
@@ -15,7 +15,7 @@
 use crate::wire::peer_client::PeerClient;
 
 /// The most connections that are kept open.
-const MAX_CONNECTIONS: usize = 32;
+const MAX_CONNECTIONS: usize = 256;
 
 /// The largest answer that a call takes, in bytes.
 pub(crate) const MAX_ANSWER_BYTES: usize = 32 << 20;
--- a/crates/hemlockhitch_peer/src/member/mod.rs
+++ b/crates/hemlockhitch_peer/src/member/mod.rs
@@ -1,9 +1,12 @@
 //! Members of the fleet and what this node knows of each.
 
+mod choice;
 mod codec;
+mod in_force;
+mod row;
 mod table;
 
-pub use table::InForce;
+pub use in_force::InForce;
 pub(crate) use table::MemberTable;
 
 use hemlockhitch_model::{DataCentreName, NodeName};
