Accept log levels of single packages

Cause: a node refused its settings when log.level named levels of packages, as the tests of separate processes do; twelve of them failed in a run over the workspace. The level is now a list of levels, each alone or for one package; anything else is a fault as before.

--- a/crates/hemlockhitch_config/src/settings/sections.rs
+++ b/crates/hemlockhitch_config/src/settings/sections.rs
@@ -114,15 +114,28 @@
         }
     }
     if let Some(entry) = reader.take("log", "level") {
-        if LEVELS.contains(&entry.value.as_str()) {
+        if entry.value.split(',').all(is_level) {
             log.level = entry.value;
         } else {
-            bad_choice(reader, &entry, &LEVELS.join(", "));
+            let choices = format!("{}; for one package, add ,PACKAGE=LEVEL", LEVELS.join(", "));
+            bad_choice(reader, &entry, &choices);
         }
     }
     log
 }
 
+/// Returns whether the text is a level, or the level of one package.
+fn is_level(text: &str) -> bool {
+    let is_package = |name: &str| {
+        let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '_' | ':');
+        !name.is_empty() && name.chars().all(plain)
+    };
+    match text.split_once('=') {
+        Some((package, level)) => is_package(package) && LEVELS.contains(&level),
+        None => LEVELS.contains(&text),
+    }
+}
+
 fn bad_choice(reader: &mut Reader, entry: &SourceEntry, choices: &str) {
     let message = format!("{:?} is not a choice", entry.value);
     let remedy = format!("use {choices}");
--- a/crates/hemlockhitch_config/src/settings/types.rs
+++ b/crates/hemlockhitch_config/src/settings/types.rs
@@ -193,7 +193,8 @@
 pub struct LogSettings {
     /// The form of the lines.
     pub format: LogFormat,
-    /// The least level that is written.
+    /// The least level that is written, and levels of single packages, as
+    /// `info,hemlockhitch_router=debug`.
     pub level: String,
 }
 
