--- a/crates/hemlockhitch_config/tests/settings.rs
+++ b/crates/hemlockhitch_config/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use hemlockhitch_config::settings::{Permission, Settings};
 use insta::assert_snapshot;
+use quickcheck::{Gen, QuickCheck};
 
 const EXAMPLE: &str = include_str!("../../../examples/node.ini");
 
@@ -151,3 +152,60 @@
             .starts_with("no-such-file.ini: file: cannot be read")
     );
 }
+
+/// A row of a table in the settings page, without its bars.
+fn documented(key: &str) -> Option<Vec<&'static str>> {
+    let page = include_str!("../../../docs/SETTINGS.md");
+    let start = format!("| `{key}` |");
+    let row = page.lines().find(|line| line.starts_with(&start))?;
+    Some(row.trim_matches('|').split('|').map(str::trim).collect())
+}
+
+#[test]
+fn page_names_every_key_with_default_and_bounds() {
+    let settings = Settings::builder().build().expect("defaults");
+    let settings = serde_json::to_value(settings).expect("JSON");
+    for section in ["node", "listen", "platform", "limits", "control", "log"] {
+        let keys = settings[section].as_object().expect("a section");
+        for (key, default) in keys {
+            let key = format!("{section}.{key}");
+            let row = documented(&key).unwrap_or_else(|| panic!("{key} is not in the page"));
+            let Some(number) = default.as_u64() else {
+                continue;
+            };
+            assert_eq!(row[1], number.to_string(), "default of {key}");
+            let (_, name) = key.split_once('.').expect("section.key");
+            let text = format!("[{section}]\n{name} = 99999999999\n");
+            assert!(
+                faults(&text).contains(&format!("use {}\n", row[2])),
+                "bounds of {key}"
+            );
+        }
+    }
+}
+
+#[test]
+fn any_text_gives_settings_or_faults_with_remedies() {
+    const PIECES: [&str; 14] = [
+        "[", "]", "[node]", "[limits]", "name", "queue_ms", "=", ":", "\n", "\r\n", ";", "7", "\"",
+        "\u{e4}",
+    ];
+    fn property(choices: Vec<u8>) -> bool {
+        let pieces = choices
+            .into_iter()
+            .map(|choice| PIECES[usize::from(choice) % PIECES.len()]);
+        let text: String = pieces.collect();
+        let error = Settings::parse(&text, "node.ini").expect_err("no address is given");
+        let lines = text.lines().count();
+        let placed = |line: Option<usize>| line.is_none_or(|line| (1..=lines).contains(&line));
+        !error.faults.is_empty()
+            && error
+                .faults
+                .iter()
+                .all(|it| !it.remedy.is_empty() && placed(it.line))
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(80, 0x1111))
+        .tests(2_000)
+        .quickcheck(property as fn(Vec<u8>) -> bool);
+}
