Choose among many endpoints by prefix, load and distance

Cause: ordering every candidate by the node's own requests ignores caches, leaves the data centre early and looks at every endpoint.

Ruled out: weighing reports fully; in trials nodes then chose the same endpoint until the next report. A trial change of order_endpoints itself made four tests of the request path fail that name endpoints in its order, so it stays as it was and EndpointPool stands beside it until the request path takes it up.

Each guard was taken out in turn and the 6 tests run: the penalty of a full endpoint 2 fail, of a failed one 1, the fading of reports 2, the search of all endpoints 1, the check for new work 2, the draw between equals 2. With all guards all pass.

--- a/crates/hemlockhitch_policy/src/endpoint/mod.rs
+++ b/crates/hemlockhitch_policy/src/endpoint/mod.rs
@@ -1,28 +1,27 @@
 //! Choice of the endpoint for a request.
+//!
+//! A prefix maps to two endpoints that probably hold it in their caches. They
+//! come first while they have room; otherwise the less loaded of two others in
+//! the node's data centre, then of two elsewhere.
 
-use hemlockhitch_config::RoutingTable;
-use hemlockhitch_model::{DataCentreKey, EndpointKey};
+mod hash;
+mod load;
+mod pool;
+mod ring;
+mod score;
 
-/// What a node knows of an endpoint's load.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct EndpointLoad {
-    /// Requests of this node that run at the endpoint.
-    pub own_in_flight: u32,
-    /// Running and waiting requests by the last report.
-    pub reported: u32,
-    /// Age of the report in milliseconds.
-    pub report_age_ms: u64,
-    /// When the endpoint last failed a request of this node, on the monotonic
-    /// clock in milliseconds.
-    pub failed_mono_ms: Option<u64>,
-}
+pub use load::EndpointLoad;
+pub use pool::EndpointPool;
+
+use hemlockhitch_config::RoutingTable;
+use hemlockhitch_model::{DataCentreKey, EndpointKey, Now};
 
 /// What a choice is made for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Placement {
     /// The data centre of the node.
     pub home: DataCentreKey,
-    /// A hash of the prompt's first part, for prefix affinity.
+    /// A hash of the prompt's first part, for prefix affinity; 0 for none.
     pub prefix_hash: u64,
     /// How long the work is expected to last, in milliseconds.
     pub expected_ms: u64,
@@ -33,12 +32,15 @@
 
 /// Orders the candidate endpoints, best first; those that take no new work are
 /// left out.
+///
+/// Looks at every candidate and at the node's own requests only. An
+/// [`EndpointPool`] looks at a few, and at prefixes and reports too.
 pub fn order_endpoints(
     table: &RoutingTable,
     candidates: &[EndpointKey],
     load: impl Fn(EndpointKey) -> EndpointLoad,
     placement: Placement,
-    now: hemlockhitch_model::Now,
+    now: Now,
 ) -> Vec<EndpointKey> {
     let mut usable: Vec<EndpointKey> = candidates
         .iter()
@@ -47,11 +49,8 @@
         .collect();
     usable.sort_by_key(|key| {
         let load = load(*key);
-        let failed = load
-            .failed_mono_ms
-            .is_some_and(|at| now.mono_ms < at + FAILURE_PENALTY_MS);
         let away = table.endpoints[*key].data_centre != placement.home;
-        (failed, load.own_in_flight, away)
+        (load.has_just_failed(now), load.own_in_flight, away)
     });
     usable
 }
