--- a/crates/hemlockhitch_policy/src/lib.rs
+++ b/crates/hemlockhitch_policy/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod bearing;
+pub mod cascade;
 pub mod endpoint;
 pub mod guard;
 pub mod retry;
