Tell a silent address from a lost answer (client: connect within 500 ms)

Cause: a connection and a whole call both had 1,000 ms, so which of the two timers ended a call to a silent address was left to the timer's ticks. When the call's won, a write that was never sent counted as of unknown effect and had to be read back. Ruled out: the translation of errors, which was right for each of the two.

Change: a connection may take 500 ms.

The test an_address_that_does_not_answer_proves_that_nothing_was_written fills a listener's queue.

--- a/crates/hemlockhitch_client/src/lib.rs
+++ b/crates/hemlockhitch_client/src/lib.rs
@@ -20,8 +20,9 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
-/// How long a connection may take to be made.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a connection may take to be made; shorter than the usual limit of a
+/// call, so that a call that was never sent is told from one without an answer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How long an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
--- a/crates/hemlockhitch_platform/tests/key_value_faults.rs
+++ b/crates/hemlockhitch_platform/tests/key_value_faults.rs
@@ -11,7 +11,8 @@
 use hemlockhitch_standin::key_value::{CALLS_PATH, FAULTS_PATH, Faults, KeyValueStandin, start};
 use hemlockhitch_standin::server::{Server, answer};
 use http::StatusCode;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::timeout;
 
 /// The time limit of the client in cases that do not wait for it.
 const LONG_LIMIT_MS: u64 = 30_000;
@@ -149,6 +150,23 @@
     assert_eq!(kind(&client.lease_grant(1).await), unavailable);
 }
 
+#[tokio::test]
+async fn an_address_that_does_not_answer_proves_that_nothing_was_written() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    // Nobody accepts, so the queue of connections fills up and no more are made.
+    let mut queued = Vec::new();
+    let attempt = Duration::from_millis(SHORT_LIMIT_MS);
+    while let Ok(stream) = timeout(attempt, TcpStream::connect(address)).await {
+        queued.push(stream.unwrap());
+    }
+    let client = HttpKeyValue::new(address.to_string());
+    let written = client.swap(Swap::create("a/1", "")).await;
+    assert_eq!(kind(&written), Some(KeyValueErrorKind::Unavailable));
+}
+
 #[tokio::test]
 async fn an_answer_in_foreign_words_proves_nothing() {
     use KeyValueErrorKind::{Protocol, Unavailable, Unknown};
