--- a/crates/hemlockhitch_platform/tests/key_value_faults.rs
+++ b/crates/hemlockhitch_platform/tests/key_value_faults.rs
@@ -168,14 +168,27 @@
 }
 
 #[tokio::test]
-async fn an_answer_in_foreign_words_proves_nothing() {
+async fn only_a_refusal_in_the_services_own_words_proves_something() {
     use KeyValueErrorKind::{Protocol, Unavailable, Unknown};
     let table = [
-        (StatusCode::OK, "<html>", Unknown, Protocol),
-        (StatusCode::BAD_GATEWAY, "<html>", Unknown, Unavailable),
-        (StatusCode::CONFLICT, "{}", Unknown, Unavailable),
+        (200, "<html>", Unknown, Protocol),
+        (409, "{}", Unknown, Unavailable),
+        (502, "<html>", Unknown, Unavailable),
+        (
+            503,
+            r#"{"code":"unavailable","detail":""}"#,
+            Unavailable,
+            Unavailable,
+        ),
+        (
+            400,
+            r#"{"code":"malformed","detail":""}"#,
+            Protocol,
+            Protocol,
+        ),
     ];
     for (status, body, write, read) in table {
+        let status = StatusCode::from_u16(status).unwrap();
         let handler = move |_| async move { answer(status, "text/html", body) };
         let server = Server::start(([127, 0, 0, 1], 0).into(), handler).await;
         let server = server.unwrap();
