Admit by fair shares and guard roll-outs on the request path

Cause: the policy's admission and guard stood beside the request path. A version whose engine answers 500 was counted as a crash, so its second failure ended the request as one that crashes endpoints. An outcome that the ledger can never take, such as an answer too large to store, kept a node from draining. Ruled out: keeping one error kind for both; a crash is told to every node, an error of a version is not one. Change: requests pass the weighted queue with the organisation's limit divided over live nodes; a full endpoint is asked again within queue_ms; roll-outs are watched, stopped on the node, told to peers and recorded as a change. The engine kind Failed stands for an answered failure. Settling stops at errors that do not pass. Before: a version that fails every request got half of them for good.

--- a/crates/hemlockhitch/src/node/administration.rs
+++ b/crates/hemlockhitch/src/node/administration.rs
@@ -95,7 +95,7 @@
     }
 
     async fn history(&self, after: u64) -> Result<Vec<NumberedChange>, AdminError> {
-        let changes = self.store.changes_after(after, 0).await;
+        let changes = self.store.history(after).await;
         changes.map_err(|error| store_error(&error))
     }
 
--- a/crates/hemlockhitch/src/node/configuration.rs
+++ b/crates/hemlockhitch/src/node/configuration.rs
@@ -5,7 +5,7 @@
 use hemlockhitch_peer::ConfigurationFeed;
 use hemlockhitch_peer::feed::{ConfigurationSource, SourceError};
 use hemlockhitch_platform::key_value::HttpKeyValue;
-use hemlockhitch_router::ViewFeed;
+use hemlockhitch_router::{RollOuts, ViewFeed};
 
 /// Reads the configuration from the key-value service.
 #[derive(Clone, Debug)]
@@ -38,12 +38,14 @@
     }
 }
 
-/// Compiles each configuration that comes into force.
-pub(super) async fn follow(feed: ConfigurationFeed, mut views: ViewFeed) {
+/// Compiles each configuration that comes into force, and watches its
+/// roll-outs.
+pub(super) async fn follow(feed: ConfigurationFeed, mut views: ViewFeed, roll_outs: RollOuts) {
     let mut configurations = feed.subscribe();
     loop {
         let configuration = configurations.borrow_and_update().clone();
         if configuration.generation > 0 {
+            roll_outs.follow(&configuration);
             views.publish(RoutingTable::compile(&configuration));
             tracing::info!(
                 event = "HH0906",
--- a/crates/hemlockhitch/src/node/mod.rs
+++ b/crates/hemlockhitch/src/node/mod.rs
@@ -2,10 +2,12 @@
 
 mod administration;
 mod backend;
+mod capacity;
 mod configuration;
 mod late_ledger;
 mod operators;
 mod ready;
+mod roll_outs;
 mod session_key;
 mod suspects;
 mod vms;
@@ -25,7 +27,9 @@
 use hemlockhitch_model::SystemClock;
 use hemlockhitch_peer::{PeerSettings, Peers};
 use hemlockhitch_platform::key_value::HttpKeyValue;
-use hemlockhitch_router::{Router, RouterParts, RouterSettings, ViewFeed};
+use hemlockhitch_policy::guard::GuardSettings;
+use hemlockhitch_router::{RollOuts, Router, RouterParts, RouterSettings, ViewFeed};
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
@@ -104,6 +108,8 @@
         );
         late.set(writer.clone());
         let session_key = session_key::load_or_create(&store).await;
+        let (stops, stopped) = mpsc::unbounded_channel();
+        let roll_outs = RollOuts::new(GuardSettings::new(), stops);
         let views = ViewFeed::new(settings.node.data_centre.as_str());
         let router = Router::new(RouterParts {
             clock,
@@ -120,6 +126,7 @@
             gate: PeerGate::new(Arc::clone(&peers)),
             views: views.subscribe(),
             session_key,
+            roll_outs: roll_outs.clone(),
             settings: router_settings(&settings),
         });
         let readiness = Readiness::new();
@@ -141,7 +148,19 @@
         )
         .await?;
         let metrics = serve(settings.listen.metrics, metrics_page::routes()).await?;
-        let following = tokio::spawn(configuration::follow(peers.feed(), views));
+        let following = tokio::spawn(configuration::follow(
+            peers.feed(),
+            views,
+            roll_outs.clone(),
+        ));
+        let learning = tokio::spawn(roll_outs::learn(Arc::clone(&peers), roll_outs));
+        let recording = tokio::spawn(roll_outs::record(
+            stopped,
+            Arc::clone(&peers),
+            administration.clone(),
+            clock,
+        ));
+        let sizing = tokio::spawn(capacity::follow(Arc::clone(&peers), router.clone()));
         let becoming_ready = tokio::spawn(ready::report(
             Arc::clone(&peers),
             readiness.clone(),
@@ -163,7 +182,7 @@
             callers,
             operators,
             metrics,
-            background: vec![following, becoming_ready],
+            background: vec![following, becoming_ready, learning, recording, sizing],
         })
     }
 
@@ -277,6 +296,7 @@
 fn router_settings(settings: &Settings) -> RouterSettings {
     RouterSettings::new()
         .in_flight(usize::try_from(settings.limits.in_flight).unwrap_or(usize::MAX))
+        .queue_ms(settings.limits.queue_ms)
         .answer_ms(settings.limits.answer_ms)
         .bill_wait_ms(BILL_WAIT_MS)
 }
--- a/crates/hemlockhitch_endpoint/src/engine/error.rs
+++ b/crates/hemlockhitch_endpoint/src/engine/error.rs
@@ -11,8 +11,9 @@
     Refused,
     /// The engine says that the request itself is at fault.
     BadRequest,
-    /// The engine failed, or the connection broke, after the request was sent:
-    /// it may have run.
+    /// The engine answered that it failed: the request may have run.
+    Failed,
+    /// The connection broke after the request was sent: it may have run.
     Broken,
     /// The answer ended before its last chunk.
     Truncated,
--- a/crates/hemlockhitch_endpoint/src/http_engine/mod.rs
+++ b/crates/hemlockhitch_endpoint/src/http_engine/mod.rs
@@ -229,7 +229,7 @@
         StatusCode::BAD_REQUEST
         | StatusCode::PAYLOAD_TOO_LARGE
         | StatusCode::UNPROCESSABLE_ENTITY => EngineErrorKind::BadRequest,
-        status if status.is_server_error() => EngineErrorKind::Broken,
+        status if status.is_server_error() => EngineErrorKind::Failed,
         _ => EngineErrorKind::Protocol,
     }
 }
@@ -238,7 +238,7 @@
     let remedy = match status_kind(status) {
         EngineErrorKind::Refused => "not run; try another endpoint",
         EngineErrorKind::BadRequest => "not run; correct the request",
-        EngineErrorKind::Broken => "the request may have run; look at the engine's log",
+        EngineErrorKind::Failed => "the request may have run; look at the engine's log",
         _ => "check that the address is an engine's",
     };
     format!("answered {status}: {text}; {remedy}")
--- a/crates/hemlockhitch_http/src/admin/routes.rs
+++ b/crates/hemlockhitch_http/src/admin/routes.rs
@@ -10,7 +10,7 @@
 use super::{Administration, Operator, Operators};
 
 /// The largest change, in bytes.
-const MAX_CHANGE_BYTES: usize = 900_000;
+const MAX_CHANGE_BYTES: usize = 8 << 20;
 
 /// Builds the routes of the administration API.
 #[must_use]
--- a/crates/hemlockhitch_router/src/call/claimed.rs
+++ b/crates/hemlockhitch_router/src/call/claimed.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hemlockhitch_endpoint::service::{ServiceAnswer, ServiceError};
-use hemlockhitch_ledger::Ledger;
+use hemlockhitch_ledger::{Ledger, LedgerError};
 use hemlockhitch_ledger::claim::{Claim, ClaimAnswer, ClaimKey, Outcome};
 use sha2::{Digest, Sha256};
 use tokio::time::sleep;
@@ -133,9 +133,13 @@
     }
 }
 
-/// Records the outcome; goes on in the background when the ledger fails.
+/// Records the outcome; goes on in the background while the ledger is down.
 async fn settle<B: Backend>(router: &Router<B>, claim: &Claim, outcome: Outcome) {
-    if settle_once(router, claim, outcome.clone()).await {
+    let Err(error) = settle_once(router, claim, outcome.clone()).await else {
+        return;
+    };
+    if !error.is_transient() {
+        settle_unknown(router, claim, &error).await;
         return;
     }
     let router = router.clone();
@@ -143,13 +147,34 @@
     let guard = router.in_flight().enter(usize::MAX);
     tokio::spawn(async move {
         let _guard = guard;
-        while !settle_once(&router, &claim, outcome.clone()).await {
-            sleep(SETTLE_PAUSE).await;
-        }
+        settle_until_recorded(&router, &claim, outcome).await;
     });
 }
 
-async fn settle_once<B: Backend>(router: &Router<B>, claim: &Claim, outcome: Outcome) -> bool {
+async fn settle_until_recorded<B: Backend>(router: &Router<B>, claim: &Claim, outcome: Outcome) {
+    loop {
+        sleep(SETTLE_PAUSE).await;
+        match settle_once(router, claim, outcome.clone()).await {
+            Ok(()) => return,
+            Err(error) if error.is_transient() => {}
+            Err(error) => return settle_unknown(router, claim, &error).await,
+        }
+    }
+}
+
+/// Gives up an outcome that the ledger will never take, such as an answer that
+/// is too large to be stored. A repeat is told that the outcome is unknown.
+async fn settle_unknown<B: Backend>(router: &Router<B>, claim: &Claim, error: &LedgerError) {
+    tracing::error!(event = "HH0708", request = %claim.attempt, %error, "outcome cannot be stored");
+    // Without it the claim ends as unknown by its own time-out.
+    let _ = settle_once(router, claim, Outcome::Unknown).await;
+}
+
+async fn settle_once<B: Backend>(
+    router: &Router<B>,
+    claim: &Claim,
+    outcome: Outcome,
+) -> Result<(), LedgerError> {
     let settled = router
         .parts
         .ledger
@@ -158,7 +183,7 @@
     if let Err(error) = &settled {
         tracing::warn!(event = "HH0705", request = %claim.attempt, %error, "outcome not recorded yet");
     }
-    settled.is_ok()
+    settled
 }
 
 fn in_progress(retry_after_ms: u64) -> Refusal {
--- a/crates/hemlockhitch_router/src/call/mod.rs
+++ b/crates/hemlockhitch_router/src/call/mod.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hemlockhitch_config::configuration::ServiceCall;
 use hemlockhitch_endpoint::service::{ServiceAnswer, ServiceRequest};
-use hemlockhitch_model::{Now, ServiceKey};
+use hemlockhitch_model::{Class, Now, ServiceKey};
 
 use crate::backend::Backend;
 use crate::caller::{Caller, CallerHeaders};
@@ -50,8 +50,13 @@
     pub async fn call(&self, call: ServiceCallRequest) -> Result<ServiceAnswer, Refusal> {
         let now = self.now();
         let view = self.view();
-        let (caller, _guard) = self.admit(call.headers.clone(), &view, now)?;
+        let class = class_of(&view, &call);
+        let accepted = self.admit(call.headers.clone(), &view, class, now).await?;
+        let _work = accepted.work;
+        let caller = accepted.caller;
         let request_id = caller.request_id;
+        // The configuration may have changed while the call waited.
+        let view = self.view();
         let planned =
             plan(&view, caller, call, now).map_err(|refusal| refusal.request(request_id))?;
         let answered = if planned.call.idempotent {
@@ -94,6 +99,14 @@
     })
 }
 
+/// Returns the class of a call, if the service has the call.
+fn class_of(view: &View, request: &ServiceCallRequest) -> Option<Class> {
+    let service = view.table.service(&request.service)?;
+    let path = request.path.split('?').next().unwrap_or_default();
+    let call = find_call(view, service, &request.method, path).ok()?;
+    Some(call.class)
+}
+
 fn find_call(
     view: &View,
     service: ServiceKey,
--- a/crates/hemlockhitch_router/src/chat/dispatch.rs
+++ b/crates/hemlockhitch_router/src/chat/dispatch.rs
@@ -31,10 +31,12 @@
     Full,
     /// The engine says that the request itself is at fault.
     BadRequest(EngineError),
-    /// The connection broke after the request was sent.
+    /// The engine failed after the request was sent.
     Broke {
         /// The endpoint that broke off.
         endpoint: EndpointName,
+        /// Whether the endpoint may have crashed.
+        crash: bool,
     },
 }
 
@@ -57,12 +59,15 @@
     if order.is_empty() {
         return Err(NotStarted::NoEndpoint);
     }
+    let mut not_started = NotStarted::NoEndpoint;
     for endpoint in order.into_iter().take(router.parts.settings.slot_tries) {
-        if let Some(dispatch) = try_endpoint(router, &view, plan, endpoint, offset_tokens).await? {
-            return Ok(dispatch);
+        match try_endpoint(router, &view, plan, endpoint, offset_tokens).await? {
+            Tried::Started(dispatch) => return Ok(dispatch),
+            Tried::Full => not_started = NotStarted::Full,
+            Tried::Unreachable => {}
         }
     }
-    Err(NotStarted::Full)
+    Err(not_started)
 }
 
 fn candidates(view: &View, plan: &Plan, avoided: &[EndpointName], now: Now) -> Vec<EndpointKey> {
@@ -89,23 +94,32 @@
     )
 }
 
-/// Starts the completion at one endpoint; `None` means that it certainly did
-/// not run there.
+/// What came of trying one endpoint.
+enum Tried<B: Backend> {
+    /// The completion runs.
+    Started(Dispatch<B>),
+    /// The endpoint bears no more; the completion did not run.
+    Full,
+    /// The endpoint cannot be reached; the completion did not run.
+    Unreachable,
+}
+
+/// Starts the completion at one endpoint.
 async fn try_endpoint<B: Backend>(
     router: &Router<B>,
     view: &View,
     plan: &Plan,
     endpoint: EndpointKey,
     offset_tokens: u32,
-) -> Result<Option<Dispatch<B>>, NotStarted> {
+) -> Result<Tried<B>, NotStarted> {
     let Some(place) = Place::take(router, view, endpoint).await else {
-        return Ok(None);
+        return Ok(Tried::Full);
     };
     let entry = &view.table.endpoints[endpoint];
     let request = engine_request(plan, offset_tokens);
     let answer = router.parts.engine.complete(&entry.row.address, request);
     match answer.await {
-        Ok(answer) => Ok(Some(Dispatch {
+        Ok(answer) => Ok(Tried::Started(Dispatch {
             endpoint: entry.row.name.clone(),
             answer,
             place,
@@ -119,7 +133,7 @@
     entry: &EndpointEntry,
     error: EngineError,
     now: Now,
-) -> Result<Option<Dispatch<B>>, NotStarted> {
+) -> Result<Tried<B>, NotStarted> {
     let endpoint = entry.row.name.clone();
     tracing::info!(event = "HH0702", %endpoint, %error, "dispatch failed");
     match error.kind() {
@@ -129,15 +143,16 @@
         }
         EngineErrorKind::Refused => {
             place.finish(SlotReport::Refused, now);
-            Ok(None)
+            Ok(Tried::Full)
         }
         EngineErrorKind::Unreachable => {
             place.finish(SlotReport::Failed, now);
-            Ok(None)
+            Ok(Tried::Unreachable)
         }
-        _ => {
+        kind => {
             place.finish(SlotReport::Failed, now);
-            Err(NotStarted::Broke { endpoint })
+            let crash = kind == EngineErrorKind::Broken;
+            Err(NotStarted::Broke { endpoint, crash })
         }
     }
 }
--- a/crates/hemlockhitch_router/src/chat/mod.rs
+++ b/crates/hemlockhitch_router/src/chat/mod.rs
@@ -44,13 +44,15 @@
     pub async fn chat(&self, call: ChatCall) -> Result<ChatAnswer<B>, Refusal> {
         let now = self.now();
         let view = self.view();
-        let (caller, guard) = self.admit(call.headers, &view, now)?;
-        let request_id = caller.request_id;
-        let plan = plan::plan(&self.parts, &view, &caller, call.body, now)
+        let accepted = self.admit(call.headers, &view, None, now).await?;
+        let request_id = accepted.caller.request_id;
+        // The configuration may have changed while the request waited.
+        let view = self.view();
+        let plan = plan::plan(&self.parts, &view, &accepted.caller, call.body, self.now())
             .map_err(|refusal| refusal.request(request_id))?;
         let version = plan.version_name.clone();
         let session = plan.session.clone();
-        let mut relay = Relay::new(self.clone(), plan, guard);
+        let mut relay = Relay::new(self.clone(), plan, accepted.work);
         relay.start().await?;
         Ok(ChatAnswer {
             request_id,
--- a/crates/hemlockhitch_router/src/chat/plan.rs
+++ b/crates/hemlockhitch_router/src/chat/plan.rs
@@ -58,6 +58,10 @@
         Some(session) => keep_version(view, caller, session)?,
         None => new_version(view, caller, &body, class)?,
     };
+    let choice = match opened {
+        Some(_) => choice,
+        None => guarded(parts, view, caller, choice),
+    };
     let version_name = view.table.versions[choice.version].row.name.clone();
     let session = opened.unwrap_or_else(|| Session {
         organisation: organisation.clone(),
@@ -177,6 +181,29 @@
     })
 }
 
+/// Replaces a version whose roll-out is stopped, or exposes enough requests, by
+/// the version that it was to replace.
+fn guarded<B: Backend>(
+    parts: &RouterParts<B>,
+    view: &View,
+    caller: &Caller,
+    choice: Choice,
+) -> Choice {
+    let chosen = &view.table.versions[choice.version].row.name;
+    let baseline = parts
+        .roll_outs
+        .divert(chosen)
+        .and_then(|baseline| view.table.version(baseline.as_str()))
+        .filter(|baseline| check_version(&view.table, caller.organisation, *baseline).is_ok());
+    match baseline {
+        None => choice,
+        Some(version) => Choice {
+            version,
+            reason: "the roll-out's guard keeps the former version",
+        },
+    }
+}
+
 fn find_model(view: &View, caller: &Caller, name: &str, class: Class) -> Result<ModelKey, Refusal> {
     if name == AUTO_MODEL {
         return first_of_cascade(view, caller, class);
--- a/crates/hemlockhitch_router/src/chat/relay.rs
+++ b/crates/hemlockhitch_router/src/chat/relay.rs
@@ -1,20 +1,33 @@
 //! The relay of an answer from engines to the caller, over resumes.
 
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
 use hemlockhitch_endpoint::engine::{Answer, Chunk, EngineError, EngineErrorKind, Usage};
 use hemlockhitch_ledger::bill::Bill;
 use hemlockhitch_model::{EndpointName, Now};
 use hemlockhitch_peer::slots::SlotReport;
+use hemlockhitch_policy::guard::Observation;
+use tokio::time::sleep;
 
 use super::dispatch::{Dispatch, NotStarted, dispatch};
 use super::plan::Plan;
 use crate::backend::Backend;
 use crate::billing::cost_micros;
 use crate::explain::{Explanation, Step};
-use crate::in_flight::InFlightGuard;
 use crate::refusal::{Refusal, RefusalKind};
-use crate::router::Router;
+use crate::router::{Router, Work};
 use crate::suspect::{MAX_CRASHES, Suspects};
 
+/// How an answer ended that came whole.
+const WHOLE: &str = "whole";
+
+/// How an answer ended whose caller left.
+const CANCELLED: &str = "cancelled";
+
+/// The pause before endpoints are asked for room again, in milliseconds.
+const ROOM_PAUSE_MS: RangeInclusive<u64> = 20..=60;
+
 /// Bytes of prompt that are counted as one token when the engine gives no count.
 const BYTES_PER_TOKEN: usize = 4;
 
@@ -31,11 +44,11 @@
     steps: Vec<Step>,
     cost_micros: u64,
     ended: Option<&'static str>,
-    _guard: InFlightGuard,
+    _work: Work<B>,
 }
 
 impl<B: Backend> Relay<B> {
-    pub(super) fn new(router: Router<B>, plan: Plan, guard: InFlightGuard) -> Self {
+    pub(super) fn new(router: Router<B>, plan: Plan, work: Work<B>) -> Self {
         let started = router.now();
         Self {
             router,
@@ -48,7 +61,7 @@
             steps: Vec::new(),
             cost_micros: 0,
             ended: None,
-            _guard: guard,
+            _work: work,
         }
     }
 
@@ -107,7 +120,7 @@
             .served(self.plan.fingerprint, now);
         let bill = self.bill(endpoint.clone(), usage, now);
         self.note_step(endpoint, "whole");
-        self.end("whole");
+        self.end(WHOLE);
         self.router.billing.deliver(bill).await;
     }
 
@@ -135,6 +148,9 @@
     async fn after_failure(&mut self, endpoint: EndpointName, crash: bool) -> Result<(), Refusal> {
         self.note_step(endpoint.clone(), "failed");
         self.avoided.push(endpoint);
+        let roll_outs = &self.router.parts.roll_outs;
+        let now = self.router.now();
+        roll_outs.observe(&self.plan.version_name, Observation::Failed, now);
         if crash && self.crashes().await >= MAX_CRASHES {
             return Err(Refusal::may_have_run(
                 RefusalKind::CrashesEndpoints,
@@ -163,12 +179,21 @@
                     self.dispatch = Some(dispatch);
                     return Ok(());
                 }
-                Err(NotStarted::Broke { endpoint }) => self.after_failure(endpoint, true).await?,
+                Err(NotStarted::Broke { endpoint, crash }) => {
+                    self.after_failure(endpoint, crash).await?;
+                }
+                Err(NotStarted::Full) if self.may_wait() => sleep(room_pause()).await,
                 Err(not_started) => return Err(self.refuse(not_started)),
             }
         }
     }
 
+    /// Returns whether the request may wait for an endpoint with room.
+    fn may_wait(&self) -> bool {
+        let waited_ms = self.router.now().mono_ms - self.started.mono_ms;
+        waited_ms < self.router.parts.settings.queue_ms
+    }
+
     fn refuse(&self, not_started: NotStarted) -> Refusal {
         let retry_after_ms = self.router.parts.settings.retry_after_ms;
         let refusal = match not_started {
@@ -266,6 +291,7 @@
 
     fn end(&mut self, ended: &'static str) {
         self.ended = Some(ended);
+        self.observe(ended);
         self.record_whole(ended);
         self.router.explanations().record(Explanation {
             request_id: self.plan.request_id,
@@ -280,6 +306,19 @@
         });
     }
 
+    /// Tells the guard of roll-outs how the version served the request.
+    fn observe(&self, ended: &'static str) {
+        let observation = match (ended, self.first_token_ms) {
+            (WHOLE, Some(first_token_ms)) => Observation::Served { first_token_ms },
+            (CANCELLED, _) => Observation::Abandoned,
+            // Each failed dispatch was told when it failed.
+            _ => Observation::Abandoned,
+        };
+        let now = self.router.now();
+        let roll_outs = &self.router.parts.roll_outs;
+        roll_outs.observe(&self.plan.version_name, observation, now);
+    }
+
     #[allow(clippy::cast_precision_loss)]
     fn record_first_token(&self) {
         let first_token_ms = self.first_token_ms.unwrap_or_default();
@@ -312,10 +351,15 @@
         if self.offset_tokens > 0 {
             self.bill_relayed();
         }
-        self.end("cancelled");
+        self.end(CANCELLED);
     }
 }
 
+/// Draws the pause before endpoints are asked for room again.
+fn room_pause() -> Duration {
+    Duration::from_millis(fastrand::u64(ROOM_PAUSE_MS))
+}
+
 fn endpoints_failed() -> Refusal {
     Refusal::may_have_run(
         RefusalKind::EndpointFailed,
--- a/crates/hemlockhitch_router/src/lib.rs
+++ b/crates/hemlockhitch_router/src/lib.rs
@@ -4,6 +4,7 @@
 //! plain service. Both return a typed [`Refusal`] that says truly whether the
 //! request ran.
 
+mod admission;
 mod backend;
 mod billing;
 mod call;
@@ -13,6 +14,7 @@
 mod in_flight;
 mod place;
 mod refusal;
+mod roll_out;
 mod router;
 mod session;
 mod settings;
@@ -26,6 +28,7 @@
 pub use explain::{Explanation, Explanations, Step};
 pub use in_flight::{InFlight, InFlightGuard};
 pub use refusal::{Refusal, RefusalBody, RefusalKind};
+pub use roll_out::{RollOuts, StoppedVersion};
 pub use router::{Router, RouterParts};
 pub use session::{Session, SessionError, SessionKey};
 pub use settings::RouterSettings;
--- a/crates/hemlockhitch_router/src/router.rs
+++ b/crates/hemlockhitch_router/src/router.rs
@@ -2,15 +2,18 @@
 
 use std::sync::Arc;
 
-use hemlockhitch_model::{Clock, Now};
+use hemlockhitch_model::{Class, Clock, Now};
+use hemlockhitch_policy::admission::{Arrival, RefusalReason};
 use tokio::sync::watch;
 
+use crate::admission::{AdmissionQueue, Admitted, TurnedAway};
 use crate::backend::{Backend, Gate};
 use crate::billing::Billing;
 use crate::caller::{Caller, CallerHeaders};
 use crate::explain::Explanations;
 use crate::in_flight::{InFlight, InFlightGuard};
 use crate::refusal::{Refusal, RefusalKind};
+use crate::roll_out::RollOuts;
 use crate::session::SessionKey;
 use crate::settings::RouterSettings;
 use crate::view::View;
@@ -36,6 +39,8 @@
     pub views: watch::Receiver<Arc<View>>,
     /// The key of session tokens.
     pub session_key: SessionKey,
+    /// The guarded roll-outs.
+    pub roll_outs: RollOuts,
     /// Limits.
     pub settings: RouterSettings,
 }
@@ -46,9 +51,22 @@
     pub(crate) parts: Arc<RouterParts<B>>,
     pub(crate) billing: Billing<B>,
     in_flight: InFlight,
+    admission: AdmissionQueue<B::Clock>,
     explanations: Explanations,
 }
 
+/// A request that the node has taken in.
+pub(crate) struct Accepted<B: Backend> {
+    pub(crate) caller: Caller,
+    pub(crate) work: Work<B>,
+}
+
+/// The place that a request has on the node; dropping it frees the place.
+pub(crate) struct Work<B: Backend> {
+    _counted: InFlightGuard,
+    _admitted: Admitted<B::Clock>,
+}
+
 impl<B: Backend> Router<B> {
     /// Creates a router.
     #[must_use]
@@ -60,7 +78,9 @@
             in_flight.clone(),
             parts.settings.bill_wait_ms,
         );
+        let capacity = u32::try_from(parts.settings.in_flight).unwrap_or(u32::MAX);
         Self {
+            admission: AdmissionQueue::new(capacity, parts.clock.clone()),
             parts: Arc::new(parts),
             billing,
             in_flight,
@@ -101,13 +121,22 @@
         Caller::authenticate(headers, &self.view().table)
     }
 
-    /// Admits a request to the node, or refuses it at once.
-    pub(crate) fn admit(
+    /// Sets how many requests run on the node at once, and over how many nodes
+    /// the limits of organisations are divided.
+    pub fn resize(&self, capacity: u32, live_nodes: u32) {
+        let most = u32::try_from(self.parts.settings.in_flight).unwrap_or(u32::MAX);
+        self.admission
+            .resize(capacity.clamp(1, most), live_nodes.max(1));
+    }
+
+    /// Takes a request in, after a wait if the node is busy, or refuses it.
+    pub(crate) async fn admit(
         &self,
         headers: CallerHeaders,
         view: &View,
+        class: Option<Class>,
         now: Now,
-    ) -> Result<(Caller, InFlightGuard), Refusal> {
+    ) -> Result<Accepted<B>, Refusal> {
         let settings = &self.parts.settings;
         self.parts.gate.check(now).map_err(|closed| {
             Refusal::not_run(
@@ -118,15 +147,46 @@
             .retry_after_ms(settings.retry_after_ms)
         })?;
         let caller = Caller::authenticate(headers, &view.table)?;
-        let guard = self.in_flight.enter(settings.in_flight).ok_or_else(|| {
-            Refusal::not_run(
-                RefusalKind::Overloaded,
-                "the node has too many requests in flight",
-                "send the request again later",
-            )
-            .retry_after_ms(settings.retry_after_ms)
-            .request(caller.request_id)
-        })?;
-        Ok((caller, guard))
+        let counted = self.in_flight.enter(usize::MAX).ok_or_else(too_many)?;
+        let organisation = &view.table.organisations[caller.organisation].row;
+        let arrival = Arrival {
+            organisation: organisation.name.clone(),
+            weight: organisation.weight,
+            limit_per_s: organisation.limit_per_s,
+            class: class.or(caller.class).unwrap_or(Class::Chat),
+            wait_limit_ms: settings.queue_ms,
+        };
+        let admitted = self.admission.enter(arrival).await;
+        let admitted = admitted
+            .map_err(|turned_away| turned_away_refusal(turned_away).request(caller.request_id))?;
+        Ok(Accepted {
+            caller,
+            work: Work {
+                _counted: counted,
+                _admitted: admitted,
+            },
+        })
     }
 }
+
+fn too_many() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::Overloaded,
+        "the node has too many requests in flight",
+        "send the request again later",
+    )
+}
+
+fn turned_away_refusal(turned_away: TurnedAway) -> Refusal {
+    let message = match turned_away.reason {
+        RefusalReason::OverRate => "your organisation sends more requests than its limit",
+        RefusalReason::WouldBeLate => "the request would wait too long",
+        RefusalReason::QueueFull => "your organisation has too many requests waiting",
+    };
+    Refusal::not_run(
+        RefusalKind::Overloaded,
+        message,
+        "send the request again after the time given",
+    )
+    .retry_after_ms(turned_away.retry_after_ms)
+}
--- a/crates/hemlockhitch_router/src/settings.rs
+++ b/crates/hemlockhitch_router/src/settings.rs
@@ -12,6 +12,9 @@
 pub struct RouterSettings {
     /// The most requests in flight on the node.
     pub in_flight: usize,
+    /// The most milliseconds that a request waits to be admitted and for an
+    /// endpoint with room.
+    pub queue_ms: u64,
     /// The most milliseconds that one answer may take.
     pub answer_ms: u64,
     /// The most milliseconds that a bill may delay the end of an answer.
@@ -30,6 +33,7 @@
     pub fn new() -> Self {
         Self {
             in_flight: 4_096,
+            queue_ms: 2_000,
             answer_ms: 120_000,
             bill_wait_ms: 500,
             slot_tries: 8,
@@ -45,6 +49,13 @@
         self
     }
 
+    /// Sets the most milliseconds that a request waits before it is dispatched.
+    #[must_use]
+    pub fn queue_ms(mut self, queue_ms: u64) -> Self {
+        self.queue_ms = queue_ms;
+        self
+    }
+
     /// Sets the most milliseconds that one answer may take.
     #[must_use]
     pub fn answer_ms(mut self, answer_ms: u64) -> Self {
--- a/crates/hemlockhitch_router/tests/request_path/main.rs
+++ b/crates/hemlockhitch_router/tests/request_path/main.rs
@@ -2,4 +2,5 @@
 
 mod call;
 mod chat;
+mod policy;
 mod support;
--- /dev/null
+++ b/crates/hemlockhitch_router/tests/request_path/policy.rs
@@ -0,0 +1,104 @@
+//! Admission and roll-outs on the request path.
+
+use hemlockhitch_config::configuration::RollOutState;
+use hemlockhitch_policy::guard::GuardSettings;
+use hemlockhitch_router::{Refusal, RefusalKind};
+use tokio::task::JoinSet;
+
+use crate::support::{Bench, chat_call, organisation, roll_out};
+
+/// Requests that are sent while a roll-out runs.
+const REQUESTS: usize = 600;
+
+/// Dispatches of one completion at the most.
+const DISPATCHES: u64 = 4;
+
+#[tokio::test]
+async fn version_that_fails_is_stopped_within_its_bound() {
+    let mut bench = Bench::new();
+    bench.apply(vec![roll_out(50.0, RollOutState::Running)]);
+    bench.engine.fail_version("small@2");
+    for index in 0..REQUESTS {
+        let _ = bench
+            .chat(chat_call("small", &format!("ask {index}")))
+            .await;
+    }
+    let stopped = bench.stopped.recv().await.unwrap();
+    insta::assert_snapshot!(stopped.version, @"small@2");
+    let settings = GuardSettings::new();
+    let pairs = settings.pairs_to_stop(1.0).unwrap();
+    let bound = DISPATCHES * (pairs + u64::from(settings.outstanding_limit));
+    let exposed = bench.engine.requests_of("small@2");
+    assert!(exposed as u64 <= bound, "{exposed} > {bound}");
+    for index in 0..50 {
+        let after = bench
+            .chat(chat_call("small", &format!("after {index}")))
+            .await;
+        assert_eq!(after.unwrap().version, "small@1");
+    }
+    assert_eq!(bench.engine.requests_of("small@2"), exposed);
+}
+
+#[tokio::test]
+async fn stopped_roll_out_resumes_only_by_an_operator() {
+    let mut bench = Bench::new();
+    bench.apply(vec![roll_out(100.0, RollOutState::Running)]);
+    bench.roll_outs.stop("small@2".into());
+    let version = bench.chat(chat_call("small", "one")).await.unwrap().version;
+    insta::assert_snapshot!(version, @"small@1");
+    bench.apply(vec![roll_out(100.0, RollOutState::Stopped)]);
+    let version = bench.chat(chat_call("small", "two")).await.unwrap().version;
+    insta::assert_snapshot!(version, @"small@1");
+    bench.apply(vec![roll_out(100.0, RollOutState::Running)]);
+    let version = bench
+        .chat(chat_call("small", "three"))
+        .await
+        .unwrap()
+        .version;
+    insta::assert_snapshot!(version, @"small@2");
+}
+
+#[tokio::test(start_paused = true)]
+async fn organisation_over_its_limit_is_refused_at_once() {
+    let mut bench = Bench::new();
+    bench.apply(vec![organisation(5)]);
+    let mut refusals: Vec<Refusal> = Vec::new();
+    for index in 0..40 {
+        let asked = bench
+            .chat(chat_call("small", &format!("ask {index}")))
+            .await;
+        refusals.extend(asked.err());
+    }
+    assert!(!refusals.is_empty());
+    for refusal in &refusals {
+        assert_eq!(refusal.kind, RefusalKind::Overloaded);
+        assert!(refusal.not_run);
+        assert!(refusal.retry_after_ms.is_some());
+    }
+    assert_eq!(bench.engine.calls().len(), 40 - refusals.len());
+}
+
+#[tokio::test]
+async fn waiting_request_runs_when_another_ends() {
+    let bench = Bench::new();
+    // Short runs show the queue that the wait will be short too.
+    for index in 0..60 {
+        let quick = bench
+            .chat(chat_call("small", &format!("quick {index}")))
+            .await;
+        assert!(quick.is_ok());
+    }
+    bench.router.resize(1, 1);
+    let mut running = JoinSet::new();
+    for index in 0..6 {
+        let router = bench.router.clone();
+        running.spawn(async move {
+            let call = chat_call("small", &format!("ask {index}"));
+            let mut answer = router.chat(call).await?;
+            while answer.relay.next().await?.is_some() {}
+            Ok::<(), Refusal>(())
+        });
+    }
+    let ended = running.join_all().await;
+    assert!(ended.iter().all(Result::is_ok), "{ended:?}");
+}
--- a/crates/hemlockhitch_router/tests/request_path/support/engine.rs
+++ b/crates/hemlockhitch_router/tests/request_path/support/engine.rs
@@ -6,6 +6,7 @@
     Answer, Chunk, Engine, EngineError, EngineErrorKind, EngineRequest, LoadReport, Order,
     OrderAnswer, Usage,
 };
+use hemlockhitch_model::VersionName;
 
 use crate::support::{Shared, lock};
 
@@ -26,6 +27,8 @@
 pub struct FakeEngine {
     scripts: Shared<HashMap<String, VecDeque<EngineScript>>>,
     always: Shared<Option<EngineScript>>,
+    bad_version: Shared<Option<VersionName>>,
+    versions: Shared<Vec<VersionName>>,
     calls: Shared<Vec<String>>,
 }
 
@@ -43,6 +46,20 @@
         *lock(&self.always) = Some(script);
     }
 
+    /// Makes every engine fail a version.
+    pub fn fail_version(&self, version: &str) {
+        *lock(&self.bad_version) = Some(version.into());
+    }
+
+    /// Returns how many requests a version got.
+    pub fn requests_of(&self, version: &str) -> usize {
+        let versions = lock(&self.versions);
+        versions
+            .iter()
+            .filter(|name| name.as_str() == version)
+            .count()
+    }
+
     /// Returns the addresses that were called, in order.
     pub fn calls(&self) -> Vec<String> {
         lock(&self.calls).clone()
@@ -73,6 +90,10 @@
         request: EngineRequest,
     ) -> Result<FakeAnswer, EngineError> {
         lock(&self.calls).push(address.to_owned());
+        lock(&self.versions).push(request.version.clone());
+        if lock(&self.bad_version).as_ref() == Some(&request.version) {
+            return Err(EngineError::new(EngineErrorKind::Failed, address, "bad"));
+        }
         let script = self.next_script(address);
         if let Some(EngineScript::Fail(kind)) = script {
             return Err(EngineError::new(kind, address, "scripted"));
