Read the load reports of owned engines

Cause: each new owner took an endpoint for cold for 30 s, since no report told it otherwise. Conclusion: reports reach the owner only; other nodes still see their own load.

--- a/crates/hemlockhitch/src/node/mod.rs
+++ b/crates/hemlockhitch/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod late_ledger;
 mod operators;
 mod ready;
+mod reports;
 mod roll_outs;
 mod session_key;
 mod suspects;
@@ -160,6 +161,12 @@
             administration.clone(),
             clock,
         ));
+        let reporting = tokio::spawn(reports::follow(
+            Arc::clone(&peers),
+            router.clone(),
+            engine(&settings),
+            clock,
+        ));
         let sizing = tokio::spawn(capacity::follow(Arc::clone(&peers), router.clone()));
         let becoming_ready = tokio::spawn(ready::report(
             Arc::clone(&peers),
@@ -182,7 +189,14 @@
             callers,
             operators,
             metrics,
-            background: vec![following, becoming_ready, learning, recording, sizing],
+            background: vec![
+                following,
+                becoming_ready,
+                learning,
+                recording,
+                reporting,
+                sizing,
+            ],
         })
     }
 
--- a/crates/hemlockhitch_peer/src/feed/spread.rs
+++ b/crates/hemlockhitch_peer/src/feed/spread.rs
@@ -158,10 +158,12 @@
     }
     let wait_ms = shared.settings.store_wait_ms;
     let changes = source.changes_after(shared.feed.generation(), wait_ms);
-    let Ok(Ok(changes)) = timeout(bound, changes).await else {
+    let Ok(read) = timeout(bound, changes).await else {
         return false;
     };
-    if !changes.is_empty() && !spread.take_changes(changes) {
+    // Changes that are no longer kept are read as a whole configuration.
+    let caught_up = read.is_ok_and(|changes| changes.is_empty() || spread.take_changes(changes));
+    if !caught_up {
         let Ok(Ok(configuration)) = timeout(bound, source.load()).await else {
             return false;
         };
--- a/crates/hemlockhitch_router/src/call/claimed.rs
+++ b/crates/hemlockhitch_router/src/call/claimed.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hemlockhitch_endpoint::service::{ServiceAnswer, ServiceError};
-use hemlockhitch_ledger::{Ledger, LedgerError};
 use hemlockhitch_ledger::claim::{Claim, ClaimAnswer, ClaimKey, Outcome};
+use hemlockhitch_ledger::{Ledger, LedgerError};
 use sha2::{Digest, Sha256};
 use tokio::time::sleep;
 
@@ -138,7 +138,7 @@
     let Err(error) = settle_once(router, claim, outcome.clone()).await else {
         return;
     };
-    if !error.is_transient() {
+    if !error.kind().is_transient() {
         settle_unknown(router, claim, &error).await;
         return;
     }
@@ -156,7 +156,7 @@
         sleep(SETTLE_PAUSE).await;
         match settle_once(router, claim, outcome.clone()).await {
             Ok(()) => return,
-            Err(error) if error.is_transient() => {}
+            Err(error) if error.kind().is_transient() => {}
             Err(error) => return settle_unknown(router, claim, &error).await,
         }
     }
