Run deferred work from acceptance to its stored answer

Cause: the queue of deferred work had no caller and no worker. Change: POST /v1/deferred and GET /v1/deferred/{id}; a worker on each node that runs jobs as class overnight; the administration lists open jobs; Router::chat_as starts a completion for an organisation authenticated before; Queue::find and Queue::put_or_find. Reading of bodies and gathering of answers moved, unchanged. Ruled out: that one node (the owner of a shard) hands out all jobs, which bounds the fleet by one node; instead polls are spaced by the size of the fleet.

--- a/crates/hemlockhitch/src/node/administration.rs
+++ b/crates/hemlockhitch/src/node/administration.rs
@@ -15,12 +15,14 @@
 use hemlockhitch_router::{Router, View};
 
 use super::backend::NodeBackend;
+use super::deferred::{self, NodeQueue};
 
 /// Serves the administration API of one node.
 #[derive(Clone)]
 pub(super) struct NodeAdministration {
     node: NodeName,
     store: ConfigStore<HttpKeyValue>,
+    queue: NodeQueue,
     peers: Arc<Peers>,
     router: Router<NodeBackend>,
     clock: SystemClock,
@@ -30,6 +32,7 @@
     pub(super) fn new(
         node: NodeName,
         store: ConfigStore<HttpKeyValue>,
+        queue: NodeQueue,
         peers: Arc<Peers>,
         router: Router<NodeBackend>,
         clock: SystemClock,
@@ -37,6 +40,7 @@
         Self {
             node,
             store,
+            queue,
             peers,
             router,
             clock,
@@ -129,7 +133,7 @@
     }
 
     async fn deferred(&self) -> Result<Vec<DeferredStatus>, AdminError> {
-        Ok(Vec::new())
+        deferred::list(&self.queue).await
     }
 }
 
--- a/crates/hemlockhitch/src/node/mod.rs
+++ b/crates/hemlockhitch/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod administration;
 mod backend;
 mod configuration;
+mod deferred;
 mod late_ledger;
 mod operators;
 mod ready;
@@ -21,6 +22,7 @@
 use hemlockhitch_http::callers::{CallersLimits, Readiness};
 use hemlockhitch_http::server::ApiServer;
 use hemlockhitch_http::{admin, callers};
+use hemlockhitch_ledger::deferred::QueueSettings;
 use hemlockhitch_ledger::{LedgerSettings, LedgerWriter, RoutedLedger, RoutedSettings};
 use hemlockhitch_model::SystemClock;
 use hemlockhitch_peer::{PeerSettings, Peers};
@@ -34,6 +36,7 @@
 use administration::NodeAdministration;
 use backend::{NodeBackend, PeerGate, Writer};
 use configuration::StoreSource;
+use deferred::{NodeQueue, Worker};
 use late_ledger::LateLedger;
 use suspects::NoticeSuspects;
 use vms::NodeVmList;
@@ -123,16 +126,20 @@
             settings: router_settings(&settings),
         });
         let readiness = Readiness::new();
+        let queue = NodeQueue::new(store.clone(), queue_settings());
         let administration = NodeAdministration::new(
             settings.node.name.clone(),
             changes,
+            queue.clone(),
             Arc::clone(&peers),
             router.clone(),
             clock,
         );
         let callers = serve(
             settings.listen.callers,
-            callers::routes(&router, &readiness, callers_limits(&settings)),
+            callers::routes(&router, &readiness, callers_limits(&settings)).push(
+                callers::deferred_routes(&router, &queue, callers_limits(&settings)),
+            ),
         )
         .await?;
         let operators = serve(
@@ -148,6 +155,18 @@
             shard_count(&settings),
             clock,
         ));
+        let deferring = tokio::spawn(
+            Worker {
+                node: settings.node.name.clone(),
+                queue,
+                store,
+                router: router.clone(),
+                peers: Arc::clone(&peers),
+                clock,
+                lease_ttl_ms: settings.control.lease_ms,
+            }
+            .run(),
+        );
         Ok(Self {
             addresses: Addresses {
                 callers: callers.address(),
@@ -163,7 +182,7 @@
             callers,
             operators,
             metrics,
-            background: vec![following, becoming_ready],
+            background: vec![following, becoming_ready, deferring],
         })
     }
 
@@ -254,6 +273,15 @@
         .claim_unknown_ms(2 * settings.limits.answer_ms)
 }
 
+/// The worker paces its polls by the size of the fleet; this only bounds the polls
+/// of one round.
+fn queue_settings() -> QueueSettings {
+    QueueSettings {
+        poll_interval_ms: deferred::POLL_ROUND_MS,
+        ..QueueSettings::default()
+    }
+}
+
 fn shard_count(settings: &Settings) -> u16 {
     u16::try_from(settings.control.shards).unwrap_or(u16::MAX)
 }
--- a/crates/hemlockhitch/tests/processes/failures/mod.rs
+++ b/crates/hemlockhitch/tests/processes/failures/mod.rs
@@ -1,6 +1,7 @@
 //! Failures of processes, of the platform's store and of data centres.
 
 mod data_centre;
+mod deferred;
 mod endpoint;
 mod node;
 mod store;
--- a/crates/hemlockhitch/tests/processes/support/mod.rs
+++ b/crates/hemlockhitch/tests/processes/support/mod.rs
@@ -6,5 +6,5 @@
 mod wait;
 
 pub use fleet::{Fleet, FleetPlan};
-pub use rows::data_centre;
+pub use rows::{CALLER_TOKEN, data_centre};
 pub use wait::{eventually, until};
--- a/crates/hemlockhitch_http/src/callers/chat.rs
+++ b/crates/hemlockhitch_http/src/callers/chat.rs
@@ -4,14 +4,14 @@
 
 use bytes::Bytes;
 use futures_util::stream::{Stream, unfold};
-use hemlockhitch_endpoint::engine::{ChatRequest, Chunk};
+use hemlockhitch_endpoint::engine::Chunk;
 use hemlockhitch_model::VersionName;
-use hemlockhitch_router::{Backend, ChatAnswer, ChatCall, Refusal, RefusalKind, Router};
+use hemlockhitch_router::{Backend, ChatAnswer, ChatCall, Refusal, Router};
 use salvo::http::StatusCode;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
 
-use super::completion::{Gathered, event};
-use super::{CallersLimits, answer, headers};
+use super::completion::{event, gather};
+use super::{CallersLimits, answer, body, headers};
 
 /// Ends a stream of events.
 const LAST_EVENT: &[u8] = b"data: [DONE]\n\n";
@@ -40,7 +40,7 @@
 impl<B: Backend> Chat<B> {
     async fn serve(&self, request: &mut Request, response: &mut Response) -> Result<(), Refusal> {
         let headers = headers::read(request);
-        let body = self.read_body(request).await?;
+        let body = body::read(request, self.limits).await?;
         let stream = body.stream;
         let answer = self.router.chat(ChatCall { headers, body }).await?;
         answer::set(response, "x-request-id", &answer.request_id.to_string());
@@ -52,33 +52,13 @@
         }
         write_whole(response, answer).await
     }
-
-    async fn read_body(&self, request: &mut Request) -> Result<ChatRequest, Refusal> {
-        let limit_bytes = self.limits.body_bytes;
-        let body = request
-            .payload_with_max_size(limit_bytes)
-            .await
-            .map_err(|error| headers::body_refusal(&error, limit_bytes))?;
-        serde_json::from_slice(body).map_err(|error| {
-            Refusal::not_run(
-                RefusalKind::BadRequest,
-                format!("the body is not a chat completion: {error}"),
-                "send JSON with `model` and `messages`",
-            )
-        })
-    }
 }
 
 async fn write_whole<B: Backend>(
     response: &mut Response,
-    mut answer: ChatAnswer<B>,
+    answer: ChatAnswer<B>,
 ) -> Result<(), Refusal> {
-    let mut gathered = Gathered::default();
-    while let Some(chunk) = answer.relay.next().await? {
-        gathered.add(chunk);
-    }
-    let completion = gathered.into_completion(answer.request_id, &answer.version);
-    answer::json(response, completion);
+    answer::json(response, gather(answer).await?);
     Ok(())
 }
 
--- a/crates/hemlockhitch_http/src/callers/completion.rs
+++ b/crates/hemlockhitch_http/src/callers/completion.rs
@@ -2,6 +2,7 @@
 
 use hemlockhitch_endpoint::engine::{Chunk, Usage};
 use hemlockhitch_model::{RequestId, VersionName};
+use hemlockhitch_router::{Backend, ChatAnswer, Refusal};
 use serde::Serialize;
 
 /// A whole completion.
@@ -69,7 +70,7 @@
 
 /// Gathers the chunks of an answer.
 #[derive(Debug, Default)]
-pub(super) struct Gathered {
+struct Gathered {
     text: String,
     finish_reason: Option<String>,
     usage: Usage,
@@ -77,14 +78,14 @@
 
 impl Gathered {
     /// Adds the next chunk.
-    pub(super) fn add(&mut self, chunk: Chunk) {
+    fn add(&mut self, chunk: Chunk) {
         self.text.push_str(&chunk.text);
         self.finish_reason = chunk.finish_reason;
         self.usage = chunk.usage.unwrap_or(self.usage);
     }
 
     /// Returns the whole completion.
-    pub(super) fn into_completion(self, id: RequestId, version: &VersionName) -> Completion {
+    fn into_completion(self, id: RequestId, version: &VersionName) -> Completion {
         Completion {
             id: completion_id(id),
             object: "chat.completion",
@@ -102,6 +103,15 @@
     }
 }
 
+/// Reads an answer to its end.
+pub(super) async fn gather<B: Backend>(mut answer: ChatAnswer<B>) -> Result<Completion, Refusal> {
+    let mut gathered = Gathered::default();
+    while let Some(chunk) = answer.relay.next().await? {
+        gathered.add(chunk);
+    }
+    Ok(gathered.into_completion(answer.request_id, &answer.version))
+}
+
 /// Builds the event for one chunk.
 pub(super) fn event(chunk: Chunk, version: &VersionName) -> CompletionChunk {
     CompletionChunk {
--- a/crates/hemlockhitch_http/src/callers/mod.rs
+++ b/crates/hemlockhitch_http/src/callers/mod.rs
@@ -3,18 +3,23 @@
 //! | request | answer |
 //! |---|---|
 //! | `POST /v1/chat/completions` | a chat completion, whole or as server-sent events |
+//! | `POST /v1/deferred` | the id of a chat completion that runs before a deadline |
+//! | `GET /v1/deferred/{id}` | its state, and its answer once it is done |
 //! | `GET /v1/models` | the models and versions that the caller may use |
 //! | any method `/v1/services/{service}/...` | the answer of a plain service |
 //! | `GET /healthz`, `GET /readyz` | whether the node lives and takes work |
 
 mod answer;
+mod body;
 mod chat;
 mod completion;
+mod deferred;
 mod headers;
 mod health;
 mod models;
 mod service;
 
+pub use deferred::{deferred_routes, whole_answer};
 pub use health::Readiness;
 
 use hemlockhitch_router::{Backend, Router};
--- a/crates/hemlockhitch_ledger/src/deferred/mod.rs
+++ b/crates/hemlockhitch_ledger/src/deferred/mod.rs
@@ -1,5 +1,6 @@
 //! Deferred work: requests that are kept in the store and run before a deadline.
 
+mod find;
 mod hold;
 mod keys;
 mod poll;
--- a/crates/hemlockhitch_ledger/src/deferred/queue.rs
+++ b/crates/hemlockhitch_ledger/src/deferred/queue.rs
@@ -67,7 +67,7 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct Queue<K> {
-    kv: K,
+    pub(super) kv: K,
     settings: QueueSettings,
     poll: Poll,
     holds: Holds,
@@ -171,11 +171,7 @@
         organisation: &OrganisationName,
         id: RequestId,
     ) -> Result<Option<JobState>, LedgerError> {
-        let Some(entry) = self.kv.get(&keys::job(organisation, id)).await? else {
-            return Ok(None);
-        };
-        let job: Job = records::decode(&entry)?;
-        if job.organisation != *organisation {
+        if self.find(organisation, id).await?.is_none() {
             return Ok(None);
         }
         if let Some(result) = self.result(organisation, id).await? {
--- a/crates/hemlockhitch_router/src/chat/mod.rs
+++ b/crates/hemlockhitch_router/src/chat/mod.rs
@@ -3,11 +3,13 @@
 mod dispatch;
 mod plan;
 mod relay;
+mod trusted;
 
 use hemlockhitch_endpoint::engine::ChatRequest;
 use hemlockhitch_model::{RequestId, VersionName};
 
 pub use relay::Relay;
+pub use trusted::TrustedCall;
 
 use crate::backend::Backend;
 use crate::caller::CallerHeaders;
--- a/crates/hemlockhitch_router/src/lib.rs
+++ b/crates/hemlockhitch_router/src/lib.rs
@@ -22,7 +22,7 @@
 pub use backend::{AlwaysOpen, Backend, Closed, Gate};
 pub use call::ServiceCallRequest;
 pub use caller::{Caller, CallerHeaders};
-pub use chat::{ChatAnswer, ChatCall, Relay};
+pub use chat::{ChatAnswer, ChatCall, Relay, TrustedCall};
 pub use explain::{Explanation, Explanations, Step};
 pub use in_flight::{InFlight, InFlightGuard};
 pub use refusal::{Refusal, RefusalBody, RefusalKind};
