--- /dev/null
+++ b/crates/hemlockhitch_ledger/tests/deferred_find.rs
@@ -0,0 +1,36 @@
+//! Jobs found by their id, and stored once for each id.
+
+mod common;
+
+use common::{FaultyKeyValue, attempt, now};
+use hemlockhitch_ledger::deferred::{Job, Queue, QueueSettings};
+use hemlockhitch_model::Class;
+
+fn job(deadline_unix_ms: u64) -> Job {
+    Job {
+        request_id: attempt(1),
+        organisation: "org".into(),
+        class: Class::Overnight,
+        body: "{}".to_owned(),
+        accepted_unix_ms: now().unix_ms,
+        deadline_unix_ms,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_second_job_with_the_same_id_finds_the_first() {
+    let kv = FaultyKeyValue::new();
+    let queue = Queue::new(kv.clone(), QueueSettings::default());
+    let first = job(now().unix_ms + 2_000);
+    assert_eq!(queue.put_or_find(first.clone()).await.unwrap(), first);
+    let second = job(now().unix_ms + 1_000);
+    assert_eq!(queue.put_or_find(second).await.unwrap(), first);
+    // The second leaves no entry that would end the first before its deadline.
+    let open = queue.list(10).await.unwrap();
+    assert_eq!(open.len(), 1);
+    assert_eq!(open[0].deadline_unix_ms, first.deadline_unix_ms);
+    let found = queue.find(&"org".into(), attempt(1)).await.unwrap();
+    assert_eq!(found, Some(first));
+    let other = queue.find(&"other".into(), attempt(1)).await.unwrap();
+    assert_eq!(other, None);
+}
