--- a/crates/hemlockhitch_router/src/chat/mod.rs
+++ b/crates/hemlockhitch_router/src/chat/mod.rs
@@ -3,16 +3,18 @@
 mod dispatch;
 mod plan;
 mod relay;
+mod trusted;
 
 use hemlockhitch_endpoint::engine::ChatRequest;
 use hemlockhitch_model::{RequestId, VersionName};
 
 pub use relay::Relay;
+pub use trusted::TrustedCall;
 
 use crate::backend::Backend;
 use crate::caller::CallerHeaders;
 use crate::refusal::Refusal;
-use crate::router::Router;
+use crate::router::{Accepted, Router};
 
 /// A chat completion as it arrives.
 #[derive(Clone, Debug, PartialEq)]
@@ -45,10 +47,19 @@
         let now = self.now();
         let view = self.view();
         let accepted = self.admit(call.headers, &view, None, now).await?;
+        self.run(accepted, call.body).await
+    }
+
+    /// Plans a request that was taken in, and starts it.
+    async fn run(
+        &self,
+        accepted: Accepted<B>,
+        body: ChatRequest,
+    ) -> Result<ChatAnswer<B>, Refusal> {
         let request_id = accepted.caller.request_id;
         // The configuration may have changed while the request waited.
         let view = self.view();
-        let plan = plan::plan(&self.parts, &view, &accepted.caller, call.body, self.now())
+        let plan = plan::plan(&self.parts, &view, &accepted.caller, body, self.now())
             .map_err(|refusal| refusal.request(request_id))?;
         let version = plan.version_name.clone();
         let session = plan.session.clone();
--- a/crates/hemlockhitch_router/src/router.rs
+++ b/crates/hemlockhitch_router/src/router.rs
@@ -137,16 +137,31 @@
         class: Option<Class>,
         now: Now,
     ) -> Result<Accepted<B>, Refusal> {
-        let settings = &self.parts.settings;
+        self.check_gate(now)?;
+        let caller = Caller::authenticate(headers, &view.table)?;
+        self.take_in(caller, view, class).await
+    }
+
+    /// Refuses a request while the node takes no new work.
+    pub(crate) fn check_gate(&self, now: Now) -> Result<(), Refusal> {
         self.parts.gate.check(now).map_err(|closed| {
             Refusal::not_run(
                 RefusalKind::NotServing,
                 closed.to_string(),
                 "send the request again; the balancer will choose another node",
             )
-            .retry_after_ms(settings.retry_after_ms)
-        })?;
-        let caller = Caller::authenticate(headers, &view.table)?;
+            .retry_after_ms(self.parts.settings.retry_after_ms)
+        })
+    }
+
+    /// Takes the request of an authenticated caller in, after a wait if the node
+    /// is busy.
+    pub(crate) async fn take_in(
+        &self,
+        caller: Caller,
+        view: &View,
+        class: Option<Class>,
+    ) -> Result<Accepted<B>, Refusal> {
         let counted = self.in_flight.enter(usize::MAX).ok_or_else(too_many)?;
         let organisation = &view.table.organisations[caller.organisation].row;
         let arrival = Arrival {
@@ -154,7 +169,7 @@
             weight: organisation.weight,
             limit_per_s: organisation.limit_per_s,
             class: class.or(caller.class).unwrap_or(Class::Chat),
-            wait_limit_ms: settings.queue_ms,
+            wait_limit_ms: self.parts.settings.queue_ms,
         };
         let admitted = self.admission.enter(arrival).await;
         let admitted = admitted
