--- a/crates/hemlockhitch_policy/src/guard/mod.rs
+++ b/crates/hemlockhitch_policy/src/guard/mod.rs
@@ -120,6 +120,13 @@
         Exposure::Allowed
     }
 
+    /// Returns whether a version was stopped.
+    #[must_use]
+    pub fn is_stopped(&self, version: &VersionName) -> bool {
+        let mut watches = self.watches.iter();
+        watches.any(|watch| watch.candidate == *version && watch.stop.is_some())
+    }
+
     /// Takes in what was seen of a version.
     pub fn observe(
         &mut self,
--- a/crates/hemlockhitch_router/src/roll_out/mod.rs
+++ b/crates/hemlockhitch_router/src/roll_out/mod.rs
@@ -125,14 +125,13 @@
 
     /// Marks the versions that the guard has stopped since the last call.
     fn newly_stopped(&mut self) -> Vec<VersionName> {
-        let candidates: Vec<VersionName> = self.baselines.keys().cloned().collect();
-        let mut newly = Vec::new();
-        for version in candidates {
-            let stopped = self.guard.start(&version) == Exposure::Stopped;
-            if stopped && self.stopped.insert(version.clone()) {
-                newly.push(version);
-            }
-        }
+        let guard = &self.guard;
+        let stopped = self.baselines.keys().filter(|name| guard.is_stopped(name));
+        let newly: Vec<VersionName> = stopped
+            .filter(|name| !self.stopped.contains(*name))
+            .cloned()
+            .collect();
+        self.stopped.extend(newly.iter().cloned());
         newly
     }
 }
