Bound the bills in hand and check the gate again before a dispatch

Cause: admission had replaced the bound on requests in flight, which also counts unwritten bills, so an outage of the store could pile bills up without a bound. A request that waited while its node was cut off or frozen was dispatched on old news. A stopped version went on getting sessions when its baseline was withdrawn. Ruled out: a bound on running requests alone, which does not see bills. Change: requests are refused as not run beyond in_flight, unwritten bills included; the gate is checked again right before the first dispatch; a stopped version without a usable baseline is refused. Before: bills_that_wait_for_the_ledger_are_bounded and request_that_waited_is_not_dispatched_once_the_node_is_cut_off fail with their guards taken out. Conclusion: BillBuffer could bound bills apart from requests; not needed yet.

--- a/crates/hemlockhitch_router/src/call/dispatch.rs
+++ b/crates/hemlockhitch_router/src/call/dispatch.rs
@@ -29,6 +29,7 @@
     planned: &Planned,
     avoided: &[EndpointKey],
 ) -> Result<Target<B>, Refusal> {
+    router.check_gate(router.now())?;
     let usable: Vec<EndpointKey> = view.table.services[planned.service]
         .endpoints
         .iter()
--- a/crates/hemlockhitch_router/src/chat/plan.rs
+++ b/crates/hemlockhitch_router/src/chat/plan.rs
@@ -9,6 +9,7 @@
 use crate::backend::Backend;
 use crate::caller::Caller;
 use crate::refusal::{Refusal, RefusalKind};
+use crate::roll_out::Diversion;
 use crate::router::RouterParts;
 use crate::session::Session;
 use crate::suspect::{Fingerprint, MAX_CRASHES, Suspects};
@@ -60,7 +61,7 @@
     };
     let choice = match opened {
         Some(_) => choice,
-        None => guarded(parts, view, caller, choice),
+        None => guarded(parts, view, caller, choice)?,
     };
     let version_name = view.table.versions[choice.version].row.name.clone();
     let session = opened.unwrap_or_else(|| Session {
@@ -188,19 +189,26 @@
     view: &View,
     caller: &Caller,
     choice: Choice,
-) -> Choice {
+) -> Result<Choice, Refusal> {
     let chosen = &view.table.versions[choice.version].row.name;
-    let baseline = parts
-        .roll_outs
-        .divert(chosen)
-        .and_then(|baseline| view.table.version(baseline.as_str()))
-        .filter(|baseline| check_version(&view.table, caller.organisation, *baseline).is_ok());
-    match baseline {
-        None => choice,
-        Some(version) => Choice {
+    let usable = |baseline: VersionName| {
+        let version = view.table.version(baseline.as_str())?;
+        let checked = check_version(&view.table, caller.organisation, version);
+        checked.is_ok().then_some(Choice {
             version,
             reason: "the roll-out's guard keeps the former version",
-        },
+        })
+    };
+    match parts.roll_outs.divert(chosen) {
+        Diversion::Keep => Ok(choice),
+        Diversion::Spare { baseline } => Ok(usable(baseline).unwrap_or(choice)),
+        Diversion::Stopped { baseline } => usable(baseline).ok_or_else(|| {
+            Refusal::not_run(
+                RefusalKind::Withdrawn,
+                format!("the roll-out of {chosen} is stopped and no former version can serve"),
+                "ask for another model, or ask your operator to resume the roll-out",
+            )
+        }),
     }
 }
 
--- a/crates/hemlockhitch_router/src/chat/relay.rs
+++ b/crates/hemlockhitch_router/src/chat/relay.rs
@@ -172,6 +172,7 @@
 
     async fn dispatch_until_started(&mut self) -> Result<(), Refusal> {
         loop {
+            self.check_gate()?;
             let started =
                 dispatch(&self.router, &self.plan, self.offset_tokens, &self.avoided).await;
             match started {
@@ -188,6 +189,15 @@
         }
     }
 
+    /// Refuses to start work on a node that was cut off or frozen meanwhile; an
+    /// answer that has started is resumed.
+    fn check_gate(&self) -> Result<(), Refusal> {
+        if self.steps.is_empty() {
+            self.router.check_gate(self.router.now())?;
+        }
+        Ok(())
+    }
+
     /// Returns whether the request may wait for an endpoint with room.
     fn may_wait(&self) -> bool {
         let waited_ms = self.router.now().mono_ms - self.started.mono_ms;
--- a/crates/hemlockhitch_router/src/roll_out/mod.rs
+++ b/crates/hemlockhitch_router/src/roll_out/mod.rs
@@ -20,6 +20,23 @@
     pub stop: GuardStop,
 }
 
+/// Which version should serve a new session.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Diversion {
+    /// The version that was chosen.
+    Keep,
+    /// Its baseline, if that can: enough requests of the chosen version run.
+    Spare {
+        /// The version that the chosen one replaces.
+        baseline: VersionName,
+    },
+    /// Its baseline alone: the chosen version was stopped.
+    Stopped {
+        /// The version that the chosen one replaces.
+        baseline: VersionName,
+    },
+}
+
 /// Guards the roll-outs of a node; clones share the state.
 #[derive(Clone, Debug)]
 pub struct RollOuts {
@@ -69,17 +86,19 @@
         self.lock().stopped.insert(version);
     }
 
-    /// Returns the version that must serve a new session instead of `version`,
-    /// if another must.
-    pub(crate) fn divert(&self, version: &VersionName) -> Option<VersionName> {
+    /// Says whether another version should serve a new session than `version`.
+    pub(crate) fn divert(&self, version: &VersionName) -> Diversion {
         let mut state = self.lock();
-        let baseline = state.baselines.get(version)?.clone();
+        let Some(baseline) = state.baselines.get(version).cloned() else {
+            return Diversion::Keep;
+        };
         if state.stopped.contains(version) {
-            return Some(baseline);
+            return Diversion::Stopped { baseline };
         }
         match state.guard.start(version) {
-            Exposure::Allowed => None,
-            Exposure::Wait | Exposure::Stopped => Some(baseline),
+            Exposure::Allowed => Diversion::Keep,
+            Exposure::Wait => Diversion::Spare { baseline },
+            Exposure::Stopped => Diversion::Stopped { baseline },
         }
     }
 
--- a/crates/hemlockhitch_router/src/router.rs
+++ b/crates/hemlockhitch_router/src/router.rs
@@ -162,14 +162,19 @@
         view: &View,
         class: Option<Class>,
     ) -> Result<Accepted<B>, Refusal> {
-        let counted = self.in_flight.enter(usize::MAX).ok_or_else(too_many)?;
+        let settings = &self.parts.settings;
+        let counted = self.in_flight.enter(settings.in_flight).ok_or_else(|| {
+            too_many()
+                .retry_after_ms(settings.retry_after_ms)
+                .request(caller.request_id)
+        })?;
         let organisation = &view.table.organisations[caller.organisation].row;
         let arrival = Arrival {
             organisation: organisation.name.clone(),
             weight: organisation.weight,
             limit_per_s: organisation.limit_per_s,
             class: class.or(caller.class).unwrap_or(Class::Chat),
-            wait_limit_ms: self.parts.settings.queue_ms,
+            wait_limit_ms: settings.queue_ms,
         };
         let admitted = self.admission.enter(arrival).await;
         let admitted = admitted
@@ -187,7 +192,7 @@
 fn too_many() -> Refusal {
     Refusal::not_run(
         RefusalKind::Overloaded,
-        "the node has too many requests in flight",
+        "the node has too many requests and unwritten bills in hand",
         "send the request again later",
     )
 }
--- a/crates/hemlockhitch_router/tests/request_path/policy.rs
+++ b/crates/hemlockhitch_router/tests/request_path/policy.rs
@@ -5,7 +5,7 @@
 use hemlockhitch_router::{Refusal, RefusalKind};
 use tokio::task::JoinSet;
 
-use crate::support::{Bench, chat_call, organisation, roll_out};
+use crate::support::{Bench, IN_FLIGHT, chat_call, organisation, roll_out, version};
 
 /// Requests that are sent while a roll-out runs.
 const REQUESTS: usize = 600;
@@ -58,6 +58,41 @@
     insta::assert_snapshot!(version, @"small@2");
 }
 
+#[tokio::test]
+async fn stopped_version_gets_no_session_when_its_baseline_is_withdrawn() {
+    let mut bench = Bench::new();
+    bench.apply(vec![roll_out(100.0, RollOutState::Running)]);
+    bench.apply(vec![version("small@1", true)]);
+    bench.roll_outs.stop("small@2".into());
+    let refusal = bench.chat(chat_call("small", "one")).await.unwrap_err();
+    assert_eq!(refusal.kind, RefusalKind::Withdrawn);
+    assert!(refusal.not_run);
+    assert!(bench.engine.calls().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn bills_that_wait_for_the_ledger_are_bounded() {
+    let bench = Bench::new();
+    bench.ledger.set_down(true);
+    for index in 0..IN_FLIGHT {
+        let served = bench
+            .chat(chat_call("small", &format!("ask {index}")))
+            .await;
+        assert!(served.is_ok(), "{index}");
+        // Callers of an organisation stay under its limit.
+        bench.clock.advance(1_000);
+    }
+    let refusal = bench
+        .chat(chat_call("small", "one more"))
+        .await
+        .unwrap_err();
+    assert_eq!(refusal.kind, RefusalKind::Overloaded);
+    assert!(refusal.not_run);
+    bench.ledger.set_down(false);
+    bench.router.in_flight().idle().await;
+    assert_eq!(bench.ledger.bills().len(), IN_FLIGHT);
+}
+
 #[tokio::test(start_paused = true)]
 async fn organisation_over_its_limit_is_refused_at_once() {
     let mut bench = Bench::new();
@@ -102,3 +137,25 @@
     let ended = running.join_all().await;
     assert!(ended.iter().all(Result::is_ok), "{ended:?}");
 }
+
+#[tokio::test]
+async fn request_that_waited_is_not_dispatched_once_the_node_is_cut_off() {
+    let bench = Bench::new();
+    bench.router.resize(1, 1);
+    let running = bench
+        .router
+        .chat(chat_call("small", "first"))
+        .await
+        .unwrap();
+    let router = bench.router.clone();
+    let waiting = tokio::spawn(async move { router.chat(chat_call("small", "second")).await });
+    while bench.router.in_flight().count() < 2 {
+        tokio::task::yield_now().await;
+    }
+    bench.gate.close();
+    drop(running);
+    let refusal = waiting.await.unwrap().err().unwrap();
+    assert_eq!(refusal.kind, RefusalKind::NotServing);
+    assert!(refusal.not_run);
+    assert_eq!(bench.engine.calls().len(), 1);
+}
--- a/crates/hemlockhitch_router/tests/request_path/support/mod.rs
+++ b/crates/hemlockhitch_router/tests/request_path/support/mod.rs
@@ -12,11 +12,11 @@
 };
 use hemlockhitch_config::{Change, Configuration, RoutingTable, Row, RowEdit};
 use hemlockhitch_endpoint::engine::{ChatMessage, ChatRequest};
-use hemlockhitch_model::{ChangeId, Class, ManualClock};
+use hemlockhitch_model::{ChangeId, Class, ManualClock, Now};
 use hemlockhitch_peer::slots::LocalSlots;
 use hemlockhitch_policy::guard::GuardSettings;
 use hemlockhitch_router::{
-    AlwaysOpen, Backend, CallerHeaders, ChatCall, LocalSuspects, Refusal, RollOuts, Router,
+    Backend, CallerHeaders, ChatCall, Closed, Gate, LocalSuspects, Refusal, RollOuts, Router,
     RouterParts, RouterSettings, ServiceCallRequest, SessionKey, StoppedVersion, ViewFeed,
 };
 use tokio::sync::mpsc;
@@ -35,12 +35,39 @@
     type Ledger = FakeLedger;
     type Slots = LocalSlots;
     type Suspects = LocalSuspects;
-    type Gate = AlwaysOpen;
+    type Gate = FakeGate;
+}
+
+/// The most requests and unwritten bills in hand.
+pub const IN_FLIGHT: usize = 64;
+
+/// A gate that a test closes.
+#[derive(Clone, Default)]
+pub struct FakeGate {
+    closed: Shared<bool>,
+}
+
+impl FakeGate {
+    /// Closes the gate.
+    pub fn close(&self) {
+        *lock(&self.closed) = true;
+    }
+}
+
+impl Gate for FakeGate {
+    fn check(&self, _now: Now) -> Result<(), Closed> {
+        if *lock(&self.closed) {
+            return Err(Closed::CutOff);
+        }
+        Ok(())
+    }
 }
 
 /// A router on fakes.
 pub struct Bench {
     pub router: Router<Fakes>,
+    pub gate: FakeGate,
+    pub clock: ManualClock,
 
     pub engine: FakeEngine,
     pub service: FakeService,
@@ -54,6 +81,7 @@
 impl Bench {
     pub fn new() -> Self {
         let clock = ManualClock::new();
+        let gate = FakeGate::default();
         let engine = FakeEngine::default();
         let service = FakeService::default();
         let ledger = FakeLedger::default();
@@ -67,14 +95,16 @@
             ledger: ledger.clone(),
             slots: LocalSlots::new(),
             suspects: LocalSuspects::new(),
-            gate: AlwaysOpen,
+            gate: gate.clone(),
             views: feed.subscribe(),
             session_key: SessionKey::new("secret"),
             roll_outs: roll_outs.clone(),
-            settings: RouterSettings::new(),
+            settings: RouterSettings::new().in_flight(IN_FLIGHT),
         });
         let mut bench = Self {
             router,
+            gate,
+            clock,
 
             engine,
             service,
