--- a/crates/hemlockhitch/src/command_line/mod.rs
+++ b/crates/hemlockhitch/src/command_line/mod.rs
@@ -19,7 +19,8 @@
 }
 
 /// The command line cannot be understood.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum CommandLineError {
     /// An option is unknown or malformed.
     #[error("{detail}; see hemlockhitch --help")]
--- a/crates/hemlockhitch/src/error/mod.rs
+++ b/crates/hemlockhitch/src/error/mod.rs
@@ -10,7 +10,8 @@
 use thiserror::Error;
 
 /// A node could not start.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[error("{detail}")]
 pub struct NodeError {
     kind: NodeErrorKind,
--- a/crates/hemlockhitch_client/src/error.rs
+++ b/crates/hemlockhitch_client/src/error.rs
@@ -25,7 +25,8 @@
 }
 
 /// A failure of an HTTP request.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 #[error("{detail}")]
 pub struct HttpError {
     kind: HttpErrorKind,
--- a/crates/hemlockhitch_config/src/admin/change.rs
+++ b/crates/hemlockhitch_config/src/admin/change.rs
@@ -7,7 +7,8 @@
 use crate::store::Submission;
 
 /// The answer to a change that an operator sent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ChangeAnswer {
     /// The change is stored and will never be taken back.
@@ -34,7 +35,8 @@
 }
 
 /// How far a generation has spread.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Progress {
     /// The generation.
--- a/crates/hemlockhitch_config/src/admin/error.rs
+++ b/crates/hemlockhitch_config/src/admin/error.rs
@@ -6,7 +6,8 @@
 use crate::store::{ConfigStoreError, ConfigStoreErrorKind};
 
 /// The kinds of refusal of the administration API.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AdminErrorCode {
     /// The message cannot be read, or breaks a rule.
@@ -29,7 +30,9 @@
 }
 
 /// A refusal of the administration API.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(Error)]
 #[error("{message}; {remedy}")]
 #[serde(deny_unknown_fields)]
 pub struct AdminError {
--- a/crates/hemlockhitch_config/src/admin/request.rs
+++ b/crates/hemlockhitch_config/src/admin/request.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The stages that a request passes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Stage {
     /// A node took the request in.
@@ -38,7 +39,8 @@
 }
 
 /// One step of a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ExplanationStep {
     /// Time of the step, in milliseconds since the Unix epoch.
@@ -54,7 +56,8 @@
 }
 
 /// What happened to one request, and why.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Explanation {
     /// The request.
@@ -72,7 +75,8 @@
 }
 
 /// The state of a deferred request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum DeferredState {
     /// It waits to be run.
@@ -86,7 +90,8 @@
 }
 
 /// One deferred request, as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DeferredStatus {
     /// The request.
--- a/crates/hemlockhitch_config/src/admin/status.rs
+++ b/crates/hemlockhitch_config/src/admin/status.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The state of a node as the answering node knows it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum NodeState {
     /// It is heard.
@@ -20,7 +21,8 @@
 }
 
 /// One node.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeStatus {
     /// Its name.
@@ -36,7 +38,8 @@
 }
 
 /// The state of an endpoint as the answering node knows it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EndpointState {
     /// It bears its full load.
@@ -52,7 +55,8 @@
 }
 
 /// One endpoint.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointStatus {
     /// Its name.
@@ -74,7 +78,8 @@
 }
 
 /// A roll-out that the guard stopped.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoppedRollOut {
     /// The version that was coming.
@@ -86,7 +91,8 @@
 }
 
 /// The state of the system as one node knows it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Status {
     /// The node that answers.
--- a/crates/hemlockhitch_config/src/change/mod.rs
+++ b/crates/hemlockhitch_config/src/change/mod.rs
@@ -6,7 +6,8 @@
 use crate::configuration::{Row, RowKey};
 
 /// A new state for one row.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RowEdit {
     /// The row that is edited.
@@ -33,7 +34,8 @@
 }
 
 /// One change of an operator.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Change {
     /// Drawn by the operator's client, so that a lost answer can be resolved.
@@ -49,7 +51,8 @@
 }
 
 /// A change that was accepted, and the generation that it became.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NumberedChange {
     /// The generation.
--- a/crates/hemlockhitch_config/src/check/mod.rs
+++ b/crates/hemlockhitch_config/src/check/mod.rs
@@ -13,7 +13,8 @@
 use index::Index;
 
 /// A rule that a row breaks.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RowFault {
     /// The row.
--- a/crates/hemlockhitch_config/src/configuration/key.rs
+++ b/crates/hemlockhitch_config/src/configuration/key.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The kind of a row; the first part of its key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RowKind {
     /// An organisation.
@@ -61,7 +62,8 @@
 
 /// The key of a row: its kind and the names that identify it, as
 /// `kind/name/name`.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RowKey(String);
 
--- a/crates/hemlockhitch_config/src/configuration/mod.rs
+++ b/crates/hemlockhitch_config/src/configuration/mod.rs
@@ -23,7 +23,8 @@
 const MARKER_REMOVAL_INTERVAL: u64 = 64;
 
 /// A row and the generation that last changed it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct VersionedRow {
     /// The row, or `None` once it was removed.
@@ -33,7 +34,8 @@
 }
 
 /// The set of rows that is in force at one generation.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Configuration {
     /// The number of changes that led here; it only grows.
--- a/crates/hemlockhitch_config/src/configuration/row.rs
+++ b/crates/hemlockhitch_config/src/configuration/row.rs
@@ -9,7 +9,8 @@
 use super::key::{RowKey, RowKind};
 
 /// One organisation.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Organisation {
     /// Its name.
@@ -23,7 +24,8 @@
 }
 
 /// One version of a model.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Version {
     /// Its name, `model@version`.
@@ -37,7 +39,8 @@
 }
 
 /// A percentage of the traffic.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Share {
     /// Between 0 and 100.
@@ -45,7 +48,8 @@
 }
 
 /// Permission of an organisation to use a version.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Allowance {
     /// The organisation.
@@ -57,7 +61,8 @@
 }
 
 /// An order of models that an organisation's requests of one class may try.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Cascade {
     /// The organisation.
@@ -71,7 +76,8 @@
 }
 
 /// One data centre.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DataCentre {
     /// Its name.
@@ -83,7 +89,8 @@
 }
 
 /// Whether an endpoint refuses orders with an old fencing number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderCheck {
     /// It refuses an old number.
@@ -93,7 +100,8 @@
 }
 
 /// One endpoint: a model engine, or one process of a plain service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Endpoint {
     /// Its name.
@@ -117,7 +125,8 @@
 }
 
 /// One call of a plain service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceCall {
     /// The service.
@@ -133,7 +142,8 @@
 }
 
 /// What a planned stop stops.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StopTarget {
     /// One endpoint.
@@ -143,7 +153,8 @@
 }
 
 /// A time during which an endpoint or data centre must be idle.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlannedStop {
     /// What stops.
@@ -155,7 +166,8 @@
 }
 
 /// The state of a roll-out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RollOutState {
     /// New sessions go to the new version at its share.
@@ -167,7 +179,8 @@
 }
 
 /// The replacement of one version of a model by another.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RollOut {
     /// The version that goes.
@@ -181,7 +194,8 @@
 }
 
 /// One row of the configuration.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Row {
     /// An organisation.
--- a/crates/hemlockhitch_config/src/settings/fault.rs
+++ b/crates/hemlockhitch_config/src/settings/fault.rs
@@ -50,7 +50,8 @@
 }
 
 /// A settings file that cannot be used, with all of its faults.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub struct SettingsError {
     /// The file, as the caller named it.
     pub file_name: String,
--- a/crates/hemlockhitch_config/src/settings/types.rs
+++ b/crates/hemlockhitch_config/src/settings/types.rs
@@ -8,7 +8,8 @@
 use super::number;
 
 /// All settings of one node.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Who the node is: `[node]`.
@@ -30,7 +31,8 @@
 }
 
 /// Who the node is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// Its name; no other node may have it.
@@ -42,7 +44,8 @@
 }
 
 /// Where the node listens; port 0 takes any free port.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
     /// Address for callers.
@@ -56,7 +59,8 @@
 }
 
 /// Where others reach the node.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AdvertiseSettings {
     /// Address for other nodes; `None` means the address that it listens on.
@@ -64,7 +68,8 @@
 }
 
 /// Where the platform's services are.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Address of the key-value service.
@@ -78,7 +83,8 @@
 }
 
 /// What an operator's token permits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Permission {
     /// Reading.
@@ -96,7 +102,8 @@
 }
 
 /// One operator's token.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct OperatorToken {
     /// The operator's name, for the history of changes.
@@ -110,7 +117,8 @@
 }
 
 /// Limits of requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LimitSettings {
     /// The largest body of a request, in bytes.
@@ -145,7 +153,8 @@
 }
 
 /// Control between nodes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ControlSettings {
     /// How long a lease lasts after its last renewal, in milliseconds.
@@ -177,7 +186,8 @@
 }
 
 /// The form of log lines.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LogFormat {
     /// Lines for people.
@@ -188,7 +198,8 @@
 }
 
 /// Logs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LogSettings {
     /// The form of the lines.
--- a/crates/hemlockhitch_config/src/sheet/difference.rs
+++ b/crates/hemlockhitch_config/src/sheet/difference.rs
@@ -20,7 +20,8 @@
 use crate::configuration::{Configuration, RollOut, RollOutState, Row, RowKey, RowKind};
 
 /// What happens to a row.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RowVerb {
     /// The row is new.
@@ -32,7 +33,8 @@
 }
 
 /// One cell that differs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CellDifference {
     /// The column.
@@ -44,7 +46,8 @@
 }
 
 /// One row that differs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RowDifference {
     /// The row.
@@ -56,7 +59,8 @@
 }
 
 /// State that the sheet does not undo.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct KeptState {
     /// The row.
@@ -72,7 +76,8 @@
 }
 
 /// The difference between a sheet and a configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SheetDifference {
     /// The rows that differ.
--- a/crates/hemlockhitch_config/src/sheet/fault.rs
+++ b/crates/hemlockhitch_config/src/sheet/fault.rs
@@ -60,7 +60,8 @@
 }
 
 /// A sheet that cannot be used, with all of its faults.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub struct SheetError {
     /// The file, as the caller named it.
     pub file_name: String,
--- a/crates/hemlockhitch_config/src/store/blob.rs
+++ b/crates/hemlockhitch_config/src/store/blob.rs
@@ -13,7 +13,8 @@
 const REMOVAL_PAGE: usize = 16;
 
 /// A text that is spread over several keys.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct Blob {
     prefix: String,
--- a/crates/hemlockhitch_config/src/store/error.rs
+++ b/crates/hemlockhitch_config/src/store/error.rs
@@ -26,7 +26,8 @@
 }
 
 /// A failure of the configuration store.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 #[error("configuration store: {detail}")]
 pub struct ConfigStoreError {
     kind: ConfigStoreErrorKind,
--- a/crates/hemlockhitch_config/src/store/record.rs
+++ b/crates/hemlockhitch_config/src/store/record.rs
@@ -26,7 +26,8 @@
 pub(super) const SNAPSHOT_PART_PREFIX: &str = "config/snapshot_part/";
 
 /// A change in its slot.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct StoredChange {
     pub(super) generation: u64,
@@ -34,7 +35,8 @@
 }
 
 /// Where the text of a change is.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(super) enum StoredBody {
     Inline(Change),
@@ -42,7 +44,8 @@
 }
 
 /// Points to a snapshot.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct StoredSnapshot {
     pub(super) generation: u64,
--- a/crates/hemlockhitch_config/src/store/submission.rs
+++ b/crates/hemlockhitch_config/src/store/submission.rs
@@ -5,7 +5,8 @@
 use crate::configuration::RowKey;
 
 /// What became of a change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Submission {
     /// The change is stored as this generation.
--- a/crates/hemlockhitch_ctl/src/error/mod.rs
+++ b/crates/hemlockhitch_ctl/src/error/mod.rs
@@ -11,7 +11,8 @@
 use crate::exit::Exit;
 
 /// A failure of a command; its message names the remedy.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 #[error("{message}")]
 pub struct CtlError {
     kind: CtlErrorKind,
--- a/crates/hemlockhitch_endpoint/src/engine/error.rs
+++ b/crates/hemlockhitch_endpoint/src/engine/error.rs
@@ -24,7 +24,8 @@
 }
 
 /// A failure of an engine.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 #[error("engine {address}: {detail}")]
 pub struct EngineError {
     kind: EngineErrorKind,
--- a/crates/hemlockhitch_endpoint/src/engine/types.rs
+++ b/crates/hemlockhitch_endpoint/src/engine/types.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One message of a conversation.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ChatMessage {
     /// `system`, `user` or `assistant`.
@@ -14,7 +15,8 @@
 }
 
 /// The body of a chat completion.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ChatRequest {
     /// The model, or one version as `model@version`.
@@ -48,7 +50,8 @@
 }
 
 /// Counts of tokens.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Usage {
     /// Tokens of the prompt.
@@ -58,7 +61,8 @@
 }
 
 /// One piece of an answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Chunk {
     /// The request that the chunk belongs to.
@@ -76,7 +80,8 @@
 }
 
 /// An engine's report of its load.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct LoadReport {
     /// Requests that run now.
@@ -92,7 +97,8 @@
 }
 
 /// An order to an engine: a desired state, so that repeating it is harmless.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Order {
     /// The fencing number of the node that gives the order.
@@ -102,7 +108,8 @@
 }
 
 /// An engine's answer to an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderAnswer {
     /// The order is carried out.
@@ -115,7 +122,8 @@
 }
 
 /// Names an exported KV cache; only engines can read it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct KvHandle {
     /// The engine's own text.
--- a/crates/hemlockhitch_endpoint/src/engine/wire.rs
+++ b/crates/hemlockhitch_endpoint/src/engine/wire.rs
@@ -21,7 +21,8 @@
 pub const RESUME_OFFSET_HEADER: &str = "x-resume-offset-tokens";
 
 /// One server-sent event of a chat completion.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ChunkEvent {
     /// Identifies the completion.
@@ -44,7 +45,8 @@
 }
 
 /// The choice of a [`ChunkEvent`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ChunkChoice {
     /// Always 0.
@@ -59,7 +61,8 @@
 }
 
 /// The new text of a [`ChunkChoice`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ChunkDelta {
     /// The text, absent on the last event.
--- a/crates/hemlockhitch_endpoint/src/service/mod.rs
+++ b/crates/hemlockhitch_endpoint/src/service/mod.rs
@@ -23,7 +23,8 @@
 }
 
 /// The answer of a plain service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ServiceAnswer {
     /// HTTP status.
@@ -35,7 +36,8 @@
 }
 
 /// A call failed.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 pub enum ServiceError {
     /// The call cannot be written as HTTP: it certainly did not run.
     #[error("call is not valid: {detail}; correct its method, path or content type")]
--- a/crates/hemlockhitch_http/src/callers/completion.rs
+++ b/crates/hemlockhitch_http/src/callers/completion.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 /// A whole completion.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct Completion {
     id: String,
     object: &'static str,
@@ -16,7 +17,8 @@
 }
 
 /// One event of a streamed completion.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct CompletionChunk {
     id: String,
     object: &'static str,
@@ -26,32 +28,37 @@
     usage: Option<UsageCounts>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Choice {
     index: u32,
     message: Message,
     finish_reason: Option<String>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ChunkChoice {
     index: u32,
     delta: Delta,
     finish_reason: Option<String>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Message {
     role: &'static str,
     content: String,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Delta {
     content: String,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct UsageCounts {
     prompt_tokens: u32,
     completion_tokens: u32,
--- a/crates/hemlockhitch_ledger/src/bill/mod.rs
+++ b/crates/hemlockhitch_ledger/src/bill/mod.rs
@@ -12,7 +12,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The bill of one request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Bill {
     /// The request; a request is billed once.
--- a/crates/hemlockhitch_ledger/src/bill/sums.rs
+++ b/crates/hemlockhitch_ledger/src/bill/sums.rs
@@ -9,7 +9,8 @@
 use crate::state::{BillTotal, BillTotals};
 
 /// What was billed since the ledger was created.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct BillSums {
     /// The sums of the bills, in order of organisation.
--- a/crates/hemlockhitch_ledger/src/call/mod.rs
+++ b/crates/hemlockhitch_ledger/src/call/mod.rs
@@ -11,7 +11,8 @@
 use crate::{LedgerError, LedgerErrorKind};
 
 /// A call to the owner of a shard. Every call may be repeated.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum LedgerCall {
     /// Claims a non-idempotent request.
@@ -47,7 +48,8 @@
 }
 
 /// The owner's answer to a [`LedgerCall`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum LedgerReply {
     /// The answer to [`LedgerCall::Claim`].
--- a/crates/hemlockhitch_ledger/src/claim/mod.rs
+++ b/crates/hemlockhitch_ledger/src/claim/mod.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Identifies a non-idempotent request, however often its caller sends it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClaimKey {
     /// The organisation of the caller.
@@ -14,7 +15,8 @@
 }
 
 /// One attempt to run a non-idempotent request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Claim {
     /// What is claimed.
@@ -27,7 +29,8 @@
 }
 
 /// How a claimed request ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Outcome {
     /// It ran and this is its answer.
@@ -46,7 +49,8 @@
 }
 
 /// The answer to a claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum ClaimAnswer {
     /// The attempt may dispatch the request, once.
@@ -65,7 +69,8 @@
 }
 
 /// The state of a claim that was recorded.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClaimState {
     /// The attempt that claimed last.
--- a/crates/hemlockhitch_ledger/src/deferred/mod.rs
+++ b/crates/hemlockhitch_ledger/src/deferred/mod.rs
@@ -14,7 +14,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A request that waits in the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Job {
     /// The request; it is also the id of the job.
@@ -32,7 +33,8 @@
 }
 
 /// The state of a job.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum JobState {
     /// It waits.
@@ -52,7 +54,8 @@
 }
 
 /// What is listed of a job that has not ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct OpenJob {
     /// The request; it is also the id of the job.
--- a/crates/hemlockhitch_ledger/src/deferred/records.rs
+++ b/crates/hemlockhitch_ledger/src/deferred/records.rs
@@ -17,7 +17,8 @@
 const MAX_VALUE_BYTES: usize = 900 * 1024;
 
 /// Who works on a job. The token tells two tries of one node apart.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(super) struct Holder {
     pub(super) job: RequestId,
@@ -26,7 +27,8 @@
 }
 
 /// How a job ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(super) struct JobResult {
     pub(super) state: JobState,
@@ -34,7 +36,8 @@
 }
 
 /// What is needed to delete a job that has ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(super) struct EndedJob {
     pub(super) request_id: RequestId,
--- a/crates/hemlockhitch_ledger/src/error.rs
+++ b/crates/hemlockhitch_ledger/src/error.rs
@@ -5,7 +5,8 @@
 use thiserror::Error;
 
 /// The kinds of failure of the ledger.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LedgerErrorKind {
     /// The store does not answer; retry later.
@@ -37,7 +38,8 @@
 }
 
 /// A failure of the ledger.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 #[error("ledger: {detail}")]
 pub struct LedgerError {
     kind: LedgerErrorKind,
--- a/crates/hemlockhitch_ledger/src/log/layout.rs
+++ b/crates/hemlockhitch_ledger/src/log/layout.rs
@@ -10,7 +10,8 @@
 
 const LAYOUT_KEY: &str = "ledger/layout";
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 struct Layout {
     shard_count: u16,
--- a/crates/hemlockhitch_ledger/src/record/mod.rs
+++ b/crates/hemlockhitch_ledger/src/record/mod.rs
@@ -9,7 +9,8 @@
 use crate::claim::{Claim, ClaimKey, Outcome};
 
 /// One change of a shard's state.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Record {
     /// A node became the owner; batches of former owners end here.
@@ -45,7 +46,8 @@
 }
 
 /// Identifies one batch, so that a lost answer can be resolved by reading back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct BatchId(RequestId);
 
@@ -64,7 +66,8 @@
 }
 
 /// The records that one write adds to a log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Batch {
     /// Identifies the batch.
--- a/crates/hemlockhitch_ledger/src/shard/mod.rs
+++ b/crates/hemlockhitch_ledger/src/shard/mod.rs
@@ -8,7 +8,8 @@
 use crate::claim::ClaimKey;
 
 /// Addresses one shard of the ledger.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ShardId(pub u16);
 
--- a/crates/hemlockhitch_ledger/src/snapshot/content.rs
+++ b/crates/hemlockhitch_ledger/src/snapshot/content.rs
@@ -7,7 +7,8 @@
 use crate::state::BillTotal;
 
 /// The state of a shard as it is stored.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct SnapshotContent {
     /// How often the shard has changed its owner.
@@ -26,7 +27,8 @@
 }
 
 /// One claim that is kept.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ClaimEntry {
     /// What was claimed.
@@ -41,7 +43,8 @@
 }
 
 /// One bill whose repeats are recognised.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct RecordedBill {
     /// The request that was billed.
--- a/crates/hemlockhitch_ledger/src/snapshot/mod.rs
+++ b/crates/hemlockhitch_ledger/src/snapshot/mod.rs
@@ -24,7 +24,8 @@
 const MAX_HEAD_TRIES: u32 = 10;
 
 /// Names a snapshot and its chunks.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Head {
     /// Identifies the snapshot.
--- a/crates/hemlockhitch_ledger/src/state/totals.rs
+++ b/crates/hemlockhitch_ledger/src/state/totals.rs
@@ -8,7 +8,8 @@
 use crate::bill::Bill;
 
 /// What an organisation was billed for one class on one version or service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct BillTotal {
     /// Who pays.
--- a/crates/hemlockhitch_model/src/class.rs
+++ b/crates/hemlockhitch_model/src/class.rs
@@ -7,7 +7,8 @@
 use thiserror::Error;
 
 /// The class of a request; a class that is declared earlier has priority.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Class {
     /// A call made while a customer waits at the till.
@@ -58,7 +59,8 @@
 }
 
 /// The text does not name a class.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[error("unknown class {text:?}; use one of till, chat, lookup, summary, overnight")]
 pub struct ParseClassError {
     text: String,
--- a/crates/hemlockhitch_model/src/id.rs
+++ b/crates/hemlockhitch_model/src/id.rs
@@ -7,7 +7,8 @@
 use thiserror::Error;
 
 /// The text is not an identifier of 32 hexadecimal digits.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[error("{text:?} is not an identifier; use 32 hexadecimal digits")]
 pub struct ParseIdError {
     text: String,
--- a/crates/hemlockhitch_model/src/time.rs
+++ b/crates/hemlockhitch_model/src/time.rs
@@ -8,7 +8,8 @@
 use tokio::time::Instant;
 
 /// A point in time, on the monotonic clock of the process and on the wall clock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Now {
     /// Milliseconds since the clock was created; never runs backwards.
--- a/crates/hemlockhitch_peer/src/error/mod.rs
+++ b/crates/hemlockhitch_peer/src/error/mod.rs
@@ -7,7 +7,8 @@
 use thiserror::Error;
 
 /// A failure between peers.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 #[error("{kind}: {detail}")]
 pub struct PeerError {
     kind: PeerErrorKind,
--- a/crates/hemlockhitch_peer/src/feed/source.rs
+++ b/crates/hemlockhitch_peer/src/feed/source.rs
@@ -6,7 +6,8 @@
 use thiserror::Error;
 
 /// The store of the configuration did not answer.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 #[error("configuration store: {detail}; the configuration in force stays")]
 pub struct SourceError {
     /// What went wrong.
--- a/crates/hemlockhitch_peer/src/ownership/keeper.rs
+++ b/crates/hemlockhitch_peer/src/ownership/keeper.rs
@@ -23,7 +23,8 @@
 const TAKEN_REST_PASSES: u64 = 4;
 
 /// The value of a bucket's key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct OwnRecord {
     /// The name of the owner.
--- a/crates/hemlockhitch_peer/src/slots/mod.rs
+++ b/crates/hemlockhitch_peer/src/slots/mod.rs
@@ -38,7 +38,8 @@
 }
 
 /// No slot can be had now; the request did not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum SlotRefusal {
     /// The endpoint bears no more.
     #[error("endpoint is full; choose another endpoint")]
--- a/crates/hemlockhitch_platform/src/calls.rs
+++ b/crates/hemlockhitch_platform/src/calls.rs
@@ -30,7 +30,8 @@
 }
 
 /// The number of calls of each kind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct StoreCallCounts {
     /// Calls that change nothing.
--- a/crates/hemlockhitch_platform/src/key_value/error.rs
+++ b/crates/hemlockhitch_platform/src/key_value/error.rs
@@ -18,7 +18,8 @@
 }
 
 /// A failure of the key-value service.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 #[error("key-value service: {detail}")]
 pub struct KeyValueError {
     kind: KeyValueErrorKind,
--- a/crates/hemlockhitch_platform/src/key_value/message.rs
+++ b/crates/hemlockhitch_platform/src/key_value/message.rs
@@ -29,7 +29,8 @@
 pub const LEASE_REVOKE_PATH: &str = "/lease/revoke";
 
 /// Reads one key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub struct GetRequest {
     /// The key.
@@ -37,7 +38,8 @@
 }
 
 /// Lists entries under a prefix.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub struct ListRequest {
     /// The prefix of the keys.
@@ -49,7 +51,8 @@
 }
 
 /// Waits for changes under a prefix.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub struct WatchRequest {
     /// The prefix of the keys.
@@ -61,7 +64,8 @@
 }
 
 /// Creates a lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub struct LeaseGrantRequest {
     /// How long the lease lasts after its last renewal, in milliseconds.
@@ -69,7 +73,8 @@
 }
 
 /// Renews or revokes a lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub struct LeaseRequest {
     /// The lease.
@@ -77,12 +82,14 @@
 }
 
 /// A request without a result was carried out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub struct Done {}
 
 /// Why the service refused a request without any effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalCode {
     /// The lease has lapsed.
@@ -96,7 +103,8 @@
 }
 
 /// The body of an answer with a status other than 2xx.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Refusal {
     /// Why the request was refused.
--- a/crates/hemlockhitch_platform/src/key_value/types.rs
+++ b/crates/hemlockhitch_platform/src/key_value/types.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One stored entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Entry {
     /// The key.
@@ -16,7 +17,8 @@
 }
 
 /// Some entries under a prefix.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Listing {
     /// The entries in order of key.
@@ -28,7 +30,8 @@
 }
 
 /// What a compare-and-swap expects of a key before it writes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Expected {
     /// The key does not exist.
@@ -40,12 +43,14 @@
 }
 
 /// Identifies a lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct LeaseId(pub u64);
 
 /// One compare-and-swap.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Swap {
     /// The key to write.
@@ -101,7 +106,8 @@
 }
 
 /// The answer to a compare-and-swap.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum SwapOutcome {
     /// The write took effect at this version.
@@ -111,7 +117,8 @@
 }
 
 /// The changes that a watch saw.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct WatchBatch {
     /// Entries written, latest state of each, in order of version.
--- a/crates/hemlockhitch_platform/src/rating/mod.rs
+++ b/crates/hemlockhitch_platform/src/rating/mod.rs
@@ -11,7 +11,8 @@
 use thiserror::Error;
 
 /// An answer that is sent to be rated.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct RatingRequest {
     /// The request that was answered.
@@ -27,7 +28,8 @@
 }
 
 /// The rating of one answer.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Rating {
     /// Quality between 0 (useless) and 1 (perfect).
@@ -35,7 +37,8 @@
 }
 
 /// The answer was not rated.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 #[error("rating service: {detail}; the request is counted as not rated")]
 pub struct RatingError {
     /// What went wrong.
--- a/crates/hemlockhitch_platform/src/vm_list/mod.rs
+++ b/crates/hemlockhitch_platform/src/vm_list/mod.rs
@@ -11,7 +11,8 @@
 use thiserror::Error;
 
 /// One VM on the list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Vm {
     /// The name of the VM, which is the name of the node on it.
@@ -25,7 +26,8 @@
 }
 
 /// The list could not be read.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 #[error("VM list: {detail}; the last list read stays in use")]
 pub struct VmListError {
     /// What went wrong.
--- a/crates/hemlockhitch_platform/src/weights/message.rs
+++ b/crates/hemlockhitch_platform/src/weights/message.rs
@@ -7,7 +7,8 @@
 pub const RESERVE_PATH: &str = "/reserve";
 
 /// Asks for the transfer of one version to one endpoint.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub struct ReserveRequest {
     /// The version.
@@ -15,12 +16,14 @@
 }
 
 /// The transfer is reserved.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub struct Reserved {}
 
 /// The body of an answer with a status other than 2xx.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ReserveRefusal {
     /// The rate limit is reached.
--- a/crates/hemlockhitch_platform/src/weights/mod.rs
+++ b/crates/hemlockhitch_platform/src/weights/mod.rs
@@ -12,7 +12,8 @@
 use thiserror::Error;
 
 /// The weights cannot be had now.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 pub enum WeightsError {
     /// The rate limit is reached.
     #[error("weight store: rate limit reached; retry after {retry_after_ms} ms")]
--- a/crates/hemlockhitch_policy/src/guard/observation.rs
+++ b/crates/hemlockhitch_policy/src/guard/observation.rs
@@ -22,7 +22,8 @@
 }
 
 /// What is compared.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Metric {
     /// Failed requests.
@@ -41,7 +42,8 @@
 }
 
 /// Why a version was stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct GuardStop {
     /// The metric in which it is worse than its baseline.
--- a/crates/hemlockhitch_policy/src/guard/wealth.rs
+++ b/crates/hemlockhitch_policy/src/guard/wealth.rs
@@ -8,7 +8,8 @@
 pub(super) const STAKES: [f64; 5] = [0.06, 0.15, 0.35, 0.65, 0.95];
 
 /// The logarithms of the wealth of each bet.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(super) struct Wealth {
     log_by_stake: [f64; STAKES.len()],
@@ -55,7 +56,8 @@
 pub(super) const STAKE_COUNT: f64 = STAKES.len() as f64;
 
 /// What one node has seen of a roll-out, in a form that peers can join.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Evidence {
     wealth: [Wealth; Metric::ALL.len()],
--- a/crates/hemlockhitch_policy/src/version/mod.rs
+++ b/crates/hemlockhitch_policy/src/version/mod.rs
@@ -6,7 +6,8 @@
 use thiserror::Error;
 
 /// No version can serve the session.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum VersionRefusal {
     /// The organisation may use no version of the model.
     #[error("the organisation may use no version of this model; ask its operator to allow one")]
--- a/crates/hemlockhitch_router/src/backend.rs
+++ b/crates/hemlockhitch_router/src/backend.rs
@@ -28,7 +28,8 @@
 }
 
 /// The node takes no new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum Closed {
     /// The node has no configuration yet.
     #[error("the node has no configuration yet")]
--- a/crates/hemlockhitch_router/src/explain/mod.rs
+++ b/crates/hemlockhitch_router/src/explain/mod.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One dispatch of a request to an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Step {
     /// When the dispatch ended, in milliseconds since the Unix epoch.
@@ -21,7 +22,8 @@
 }
 
 /// What was decided for one request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Explanation {
     /// The request.
--- a/crates/hemlockhitch_router/src/refusal/mod.rs
+++ b/crates/hemlockhitch_router/src/refusal/mod.rs
@@ -9,7 +9,8 @@
 use thiserror::Error;
 
 /// A final answer other than the one asked for.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[error("{message}; {remedy}")]
 pub struct Refusal {
     /// The kind, which sets the code and the HTTP status.
@@ -27,7 +28,8 @@
 }
 
 /// The JSON body of a refusal.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct RefusalBody {
     /// A stable word for programs.
--- a/crates/hemlockhitch_router/src/session/mod.rs
+++ b/crates/hemlockhitch_router/src/session/mod.rs
@@ -25,7 +25,8 @@
 }
 
 /// A session token is not valid.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum SessionError {
     /// The text is not a session token.
     #[error("the session token cannot be read; open a new session without a token")]
--- a/crates/hemlockhitch_router/src/suspect/mod.rs
+++ b/crates/hemlockhitch_router/src/suspect/mod.rs
@@ -10,7 +10,8 @@
 use sha2::{Digest, Sha256};
 
 /// A digest of a request's content, the same whoever sends it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
 
--- a/crates/hemlockhitch_standin/src/caller/reply.rs
+++ b/crates/hemlockhitch_standin/src/caller/reply.rs
@@ -38,7 +38,8 @@
 }
 
 /// The body of a refusal.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct RefusalReply {
     /// The stable word.
--- a/crates/hemlockhitch_standin/src/command_line.rs
+++ b/crates/hemlockhitch_standin/src/command_line.rs
@@ -13,7 +13,8 @@
 const DEFAULT_ADDRESS: &str = "127.0.0.1:0";
 
 /// A stand-in cannot run as its command line asks.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum CommandLineError {
     /// The options are not understood.
     #[error("{0}; see --help")]
--- a/crates/hemlockhitch_standin/src/engine/faults.rs
+++ b/crates/hemlockhitch_standin/src/engine/faults.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One change of the faults, as `POST /faults` and the command line take it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
 pub enum EngineFault {
     /// Ends every fault but a running cold start.
--- a/crates/hemlockhitch_standin/src/engine/serve.rs
+++ b/crates/hemlockhitch_standin/src/engine/serve.rs
@@ -22,14 +22,16 @@
 const RETRY_AFTER_S: u32 = 1;
 
 /// The body of an answer that is not a success.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 struct Failure<'a> {
     error: &'a str,
 }
 
 /// The body of an answer that says nothing more.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 struct Done {
     done: bool,
--- a/crates/hemlockhitch_standin/src/engine/stats.rs
+++ b/crates/hemlockhitch_standin/src/engine/stats.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Counts since the start of the process; a crash does not reset them.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct EngineStats {
     /// Completions that started to run.
--- a/crates/hemlockhitch_standin/src/key_value/faults.rs
+++ b/crates/hemlockhitch_standin/src/key_value/faults.rs
@@ -7,7 +7,8 @@
 use tokio::sync::watch;
 
 /// The faults of the key-value service; the default is none.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", default, deny_unknown_fields)]
 pub struct Faults {
     /// Whether every connection breaks at its next request, without effect.
--- a/crates/hemlockhitch_standin/src/plain_service/state.rs
+++ b/crates/hemlockhitch_standin/src/plain_service/state.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One change of the faults.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
 pub enum PlainServiceFault {
     /// Ends every fault.
@@ -34,7 +35,8 @@
 }
 
 /// How often one call ran.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct RanCall {
     /// HTTP method.
@@ -48,7 +50,8 @@
 }
 
 /// What ran since the start of the process.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct PlainServiceStats {
     /// Calls that took effect.
@@ -60,7 +63,8 @@
 }
 
 /// The answer to a call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct PlainServiceAnswer {
     /// The running number of the call.
--- a/crates/hemlockhitch_standin/src/rating/settings.rs
+++ b/crates/hemlockhitch_standin/src/rating/settings.rs
@@ -13,7 +13,8 @@
 
 /// Settings of the rating service; ratings depend on nothing else than these,
 /// the version and the request identifier.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", default, deny_unknown_fields)]
 pub struct RatingSettings {
     /// The mean quality of versions without one of their own, from 0 to 1.
@@ -31,7 +32,8 @@
 }
 
 /// The mean quality of one version, written `version=quality`.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub struct VersionQuality {
     /// The version.
@@ -41,7 +43,8 @@
 }
 
 /// The text is not a version and its quality.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[error("{text:?} is not a quality; write model@version=0.9")]
 pub struct ParseQualityError {
     text: String,
--- a/crates/hemlockhitch_standin/src/vm_list/mod.rs
+++ b/crates/hemlockhitch_standin/src/vm_list/mod.rs
@@ -32,7 +32,8 @@
 pub const SETTINGS_PATH: &str = "/settings";
 
 /// How the list behaves; the default is at once and without faults.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", default, deny_unknown_fields)]
 pub struct VmListSettings {
     /// How long the list lags behind its editions, in milliseconds.
--- a/crates/hemlockhitch_standin/src/weights/settings.rs
+++ b/crates/hemlockhitch_standin/src/weights/settings.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Settings of the weight store; the default has no limit and every version.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", default, deny_unknown_fields)]
 pub struct WeightsSettings {
     /// The mean time between two transfers, in milliseconds.
