Let a resumed answer wait for room, and split the relay

Cause: the wait for an endpoint with room was counted from the start of the whole answer, so an answer that broke off after queue_ms was cut as soon as the other endpoints were full for a moment. Change: the wait counts from when room was first asked for. Before: long_answer_waits_for_room_when_it_is_resumed was refused as overloaded. Conclusion: found by reading the path once more from its start.

--- a/crates/hemlockhitch_router/src/chat/mod.rs
+++ b/crates/hemlockhitch_router/src/chat/mod.rs
@@ -1,6 +1,7 @@
 //! Chat completions.
 
 mod dispatch;
+mod ending;
 mod plan;
 mod relay;
 mod trusted;
--- a/crates/hemlockhitch_router/src/chat/relay.rs
+++ b/crates/hemlockhitch_router/src/chat/relay.rs
@@ -4,46 +4,36 @@
 use std::time::Duration;
 
 use hemlockhitch_endpoint::engine::{Answer, Chunk, EngineError, EngineErrorKind, Usage};
-use hemlockhitch_ledger::bill::Bill;
 use hemlockhitch_model::{EndpointName, Now};
 use hemlockhitch_peer::slots::SlotReport;
 use hemlockhitch_policy::guard::Observation;
 use tokio::time::sleep;
 
 use super::dispatch::{Dispatch, NotStarted, dispatch};
+use super::ending::{CANCELLED, WHOLE};
 use super::plan::Plan;
 use crate::backend::Backend;
-use crate::billing::cost_micros;
-use crate::explain::{Explanation, Step};
+use crate::explain::Step;
 use crate::refusal::{Refusal, RefusalKind};
 use crate::router::{Router, Work};
 use crate::suspect::{MAX_CRASHES, Suspects};
 
-/// How an answer ended that came whole.
-const WHOLE: &str = "whole";
-
-/// How an answer ended whose caller left.
-const CANCELLED: &str = "cancelled";
-
 /// The pause before endpoints are asked for room again, in milliseconds.
 const ROOM_PAUSE_MS: RangeInclusive<u64> = 20..=60;
 
-/// Bytes of prompt that are counted as one token when the engine gives no count.
-const BYTES_PER_TOKEN: usize = 4;
-
 /// Relays one answer; dropping it before the end cancels the work and bills
 /// what was relayed.
 pub struct Relay<B: Backend> {
-    router: Router<B>,
-    plan: Plan,
-    started: Now,
-    dispatch: Option<Dispatch<B>>,
-    offset_tokens: u32,
-    first_token_ms: Option<u64>,
-    avoided: Vec<EndpointName>,
-    steps: Vec<Step>,
-    cost_micros: u64,
-    ended: Option<&'static str>,
+    pub(super) router: Router<B>,
+    pub(super) plan: Plan,
+    pub(super) started: Now,
+    pub(super) dispatch: Option<Dispatch<B>>,
+    pub(super) offset_tokens: u32,
+    pub(super) first_token_ms: Option<u64>,
+    pub(super) avoided: Vec<EndpointName>,
+    pub(super) steps: Vec<Step>,
+    pub(super) cost_micros: u64,
+    pub(super) ended: Option<&'static str>,
     _work: Work<B>,
 }
 
@@ -119,7 +109,7 @@
             .suspects
             .served(self.plan.fingerprint, now);
         let bill = self.bill(endpoint.clone(), usage, now);
-        self.note_step(endpoint, "whole");
+        self.note_step(endpoint, WHOLE);
         self.end(WHOLE);
         self.router.billing.deliver(bill).await;
     }
@@ -171,6 +161,7 @@
     }
 
     async fn dispatch_until_started(&mut self) -> Result<(), Refusal> {
+        let asked = self.router.now();
         loop {
             self.check_gate()?;
             let started =
@@ -183,7 +174,7 @@
                 Err(NotStarted::Broke { endpoint, crash }) => {
                     self.after_failure(endpoint, crash).await?;
                 }
-                Err(NotStarted::Full) if self.may_wait() => sleep(room_pause()).await,
+                Err(NotStarted::Full) if self.may_wait(asked) => sleep(room_pause()).await,
                 Err(not_started) => return Err(self.refuse(not_started)),
             }
         }
@@ -198,9 +189,10 @@
         Ok(())
     }
 
-    /// Returns whether the request may wait for an endpoint with room.
-    fn may_wait(&self) -> bool {
-        let waited_ms = self.router.now().mono_ms - self.started.mono_ms;
+    /// Returns whether the request may wait for an endpoint with room, after it
+    /// first asked for one at `asked`.
+    fn may_wait(&self, asked: Now) -> bool {
+        let waited_ms = self.router.now().mono_ms - asked.mono_ms;
         waited_ms < self.router.parts.settings.queue_ms
     }
 
@@ -231,40 +223,6 @@
         }
     }
 
-    fn usage_so_far(&self) -> Usage {
-        let prompt_bytes: usize = self
-            .plan
-            .body
-            .messages
-            .iter()
-            .map(|message| message.content.len())
-            .sum();
-        let prompt_tokens = prompt_bytes.div_ceil(BYTES_PER_TOKEN);
-        Usage {
-            prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
-            completion_tokens: self.offset_tokens,
-        }
-    }
-
-    fn bill(&mut self, endpoint: EndpointName, usage: Usage, now: Now) -> Bill {
-        let view = self.router.view();
-        let version = view.table.version(self.plan.version_name.as_str());
-        self.cost_micros = version.map_or(0, |version| {
-            cost_micros(&view.table.versions[version].row, usage)
-        });
-        Bill {
-            request_id: self.plan.request_id,
-            organisation: self.plan.organisation.clone(),
-            class: self.plan.class,
-            ran_on: self.plan.version_name.to_string(),
-            endpoint,
-            prompt_tokens: usage.prompt_tokens,
-            completion_tokens: usage.completion_tokens,
-            cost_micros: self.cost_micros,
-            at_unix_ms: now.unix_ms,
-        }
-    }
-
     fn note_step(&mut self, endpoint: EndpointName, ended: &str) {
         self.steps.push(Step {
             at_unix_ms: self.router.now().unix_ms,
@@ -281,76 +239,6 @@
         self.end(refusal.kind.code());
         refusal.request(self.plan.request_id)
     }
-
-    /// Bills the tokens that were relayed of an answer that did not end.
-    fn bill_relayed(&mut self) {
-        let endpoint = self.last_endpoint();
-        let usage = self.usage_so_far();
-        let now = self.router.now();
-        let bill = self.bill(endpoint, usage, now);
-        self.router.billing.deliver_later(bill);
-    }
-
-    fn last_endpoint(&self) -> EndpointName {
-        let running = self.dispatch.as_ref().map(|dispatch| &dispatch.endpoint);
-        running
-            .or(self.avoided.last())
-            .cloned()
-            .unwrap_or_else(|| EndpointName::new("none"))
-    }
-
-    fn end(&mut self, ended: &'static str) {
-        self.ended = Some(ended);
-        self.observe(ended);
-        self.record_whole(ended);
-        self.router.explanations().record(Explanation {
-            request_id: self.plan.request_id,
-            organisation: self.plan.organisation.clone(),
-            class: self.plan.class,
-            version: Some(self.plan.version_name.clone()),
-            reason: self.plan.reason.to_owned(),
-            generation: self.plan.generation,
-            steps: std::mem::take(&mut self.steps),
-            cost_micros: self.cost_micros,
-            ended: ended.to_owned(),
-        });
-    }
-
-    /// Tells the guard of roll-outs how the version served the request.
-    fn observe(&self, ended: &'static str) {
-        let observation = match (ended, self.first_token_ms) {
-            (WHOLE, Some(first_token_ms)) => Observation::Served { first_token_ms },
-            (CANCELLED, _) => Observation::Abandoned,
-            // Each failed dispatch was told when it failed.
-            _ => Observation::Abandoned,
-        };
-        let now = self.router.now();
-        let roll_outs = &self.router.parts.roll_outs;
-        roll_outs.observe(&self.plan.version_name, observation, now);
-    }
-
-    #[allow(clippy::cast_precision_loss)]
-    fn record_first_token(&self) {
-        let first_token_ms = self.first_token_ms.unwrap_or_default();
-        metrics::histogram!(
-            "hemlockhitch_first_token_ms",
-            "organisation" => self.plan.organisation.to_string(),
-            "class" => self.plan.class.as_str(),
-        )
-        .record(first_token_ms as f64);
-    }
-
-    #[allow(clippy::cast_precision_loss)]
-    fn record_whole(&self, ended: &'static str) {
-        let whole_ms = self.router.now().mono_ms - self.started.mono_ms;
-        metrics::histogram!(
-            "hemlockhitch_answer_ms",
-            "organisation" => self.plan.organisation.to_string(),
-            "class" => self.plan.class.as_str(),
-            "ended" => ended,
-        )
-        .record(whole_ms as f64);
-    }
 }
 
 impl<B: Backend> Drop for Relay<B> {
--- a/crates/hemlockhitch_router/tests/request_path/chat.rs
+++ b/crates/hemlockhitch_router/tests/request_path/chat.rs
@@ -188,3 +188,26 @@
     bench.router.in_flight().idle().await;
     assert_eq!(bench.ledger.bills().len(), 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn long_answer_waits_for_room_when_it_is_resumed() {
+    let bench = Bench::new();
+    bench
+        .engine
+        .script("e-1", EngineScript::FailAfter(2, EngineErrorKind::TimedOut));
+    for endpoint in ["e-2", "e-3", "e-4"] {
+        let refused = EngineScript::Fail(EngineErrorKind::Refused);
+        bench.engine.script(endpoint, refused);
+    }
+    let mut answer = bench
+        .router
+        .chat(chat_call("small", "hello"))
+        .await
+        .unwrap();
+    let mut text = answer.relay.next().await.unwrap().unwrap().text;
+    bench.clock.advance(60_000);
+    while let Some(chunk) = answer.relay.next().await.unwrap() {
+        text.push_str(&chunk.text);
+    }
+    insta::assert_snapshot!(text, @"0.1.2.3.4.5.");
+}
