Hold closed ports in tests instead of freeing them

Cause: closed_port_is_unreachable failed once in a whole run under load: it took a port, freed it and expected nobody there, while tests beside it take free ports. Ruled out by reading: the client tells a refused connection apart by its kind. The taking of the port by another test was not reproduced. Change: ClosedPort binds a port and never listens on it; three tests use it and keep their assertions. Conclusion: the verdict no longer depends on what runs beside it.

--- a/crates/hemlockhitch_ctl/tests/ctl.rs
+++ b/crates/hemlockhitch_ctl/tests/ctl.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use hemlockhitch_standin::server::ClosedPort;
 use std::fmt::Write;
 use std::fs;
 
@@ -361,9 +362,8 @@
 
 #[tokio::test]
 async fn node_that_cannot_be_used_is_named() {
-    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = free.local_addr().expect("an address").to_string();
-    drop(free);
+    let closed = ClosedPort::take().expect("a free port");
+    let address = closed.address().expect("an address").to_string();
     let ran = run_with_token(&["status", "--node", &address], Some(TOKEN)).await;
     assert_eq!(ran.code, 3);
     assert!(
--- a/crates/hemlockhitch_endpoint/tests/engine_contract.rs
+++ b/crates/hemlockhitch_endpoint/tests/engine_contract.rs
@@ -1,6 +1,6 @@
 //! The contract of [`HttpEngine`], against the engine stand-in.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hemlockhitch_endpoint::HttpEngine;
@@ -11,6 +11,7 @@
 use hemlockhitch_standin::engine::{
     self, EngineFault, EngineSettings, EngineStandin, EngineStats, expected_answer,
 };
+use hemlockhitch_standin::server::ClosedPort;
 use tokio::time::{sleep, timeout};
 
 const VERSION: &str = "m@1";
@@ -20,12 +21,6 @@
 /// How long a test waits for a state that must come.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Returns an address on which nobody listens.
-fn closed_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().to_string()
-}
-
 async fn start(settings: EngineSettings) -> EngineStandin {
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
     engine::start(address, settings).await.unwrap()
@@ -244,7 +239,8 @@
 
 #[tokio::test]
 async fn closed_port_is_unreachable() {
-    let address = closed_address();
+    let closed = ClosedPort::take().unwrap();
+    let address = closed.address().unwrap().to_string();
     let received = receive(&client(), &address, request(8)).await;
     insta::assert_snapshot!(
         format!("{} not_run={}", received.end, received.not_run),
--- a/crates/hemlockhitch_endpoint/tests/service_contract.rs
+++ b/crates/hemlockhitch_endpoint/tests/service_contract.rs
@@ -1,18 +1,13 @@
 //! The contract of [`HttpService`], against the plain service stand-in.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use hemlockhitch_endpoint::HttpService;
 use hemlockhitch_endpoint::service::{Service, ServiceAnswer, ServiceError, ServiceRequest};
 use hemlockhitch_model::RequestId;
 use hemlockhitch_standin::plain_service::{self, PlainServiceStandin};
-
-/// Returns an address on which nobody listens.
-fn closed_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().to_string()
-}
+use hemlockhitch_standin::server::ClosedPort;
 
 async fn start() -> PlainServiceStandin {
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -142,7 +137,8 @@
 
 #[tokio::test]
 async fn closed_port_is_unreachable() {
-    let address = closed_address();
+    let closed = ClosedPort::take().unwrap();
+    let address = closed.address().unwrap().to_string();
     let result = HttpService::new().call(&address, hold(7)).await;
     insta::assert_snapshot!(outcome(result), @"unreachable, not run");
 }
--- a/crates/hemlockhitch_standin/src/server/mod.rs
+++ b/crates/hemlockhitch_standin/src/server/mod.rs
@@ -15,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
@@ -62,6 +62,37 @@
     }
 }
 
+/// An address that refuses connections for as long as the value lives.
+///
+/// The port is bound and never listened on, so that no other process or test
+/// can take it meanwhile.
+#[derive(Debug)]
+pub struct ClosedPort {
+    socket: TcpSocket,
+}
+
+impl ClosedPort {
+    /// Takes a free port of the loopback interface.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free.
+    pub fn take() -> io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        Ok(Self { socket })
+    }
+
+    /// Returns the address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system does not tell it.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+}
+
 async fn accept<H, F>(listener: TcpListener, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
