Order the imports of a test

Cause: the import of ClosedPort stood among the standard library's. Change: it stands with the other packages. Before and after: no behaviour changes. Conclusion: none further.

--- a/crates/hemlockhitch_ctl/tests/ctl.rs
+++ b/crates/hemlockhitch_ctl/tests/ctl.rs
@@ -2,12 +2,12 @@
 
 mod support;
 
-use hemlockhitch_standin::server::ClosedPort;
 use std::fmt::Write;
 use std::fs;
 
 use hemlockhitch_config::Configuration;
 use hemlockhitch_config::admin::{ChangeAnswer, Progress, Status};
+use hemlockhitch_standin::server::ClosedPort;
 use insta::assert_snapshot;
 
 use support::{ChangeFault, Node, TOKEN, progress, request_id, run_with_token};
