Find a waiting request's organisation again in the new table

Cause: a request that waited for admission was planned on the newest routing table with a key of the table that it was authenticated on. When a change had added or removed an organisation meanwhile, the key named another organisation, whose versions the request could then use and which would be billed. Ruled out: keeping the old table, which would ignore a withdrawal that came while the request waited. Change: admission hands out the new view together with the key of the same organisation in it, for chat completions, deferred work and calls; an organisation that is gone is refused as not run. One refusal serves both places. Before: request_that_waited_keeps_its_organisation_when_the_table_changes fails with the look-up taken out.

--- a/crates/hemlockhitch_router/src/call/mod.rs
+++ b/crates/hemlockhitch_router/src/call/mod.rs
@@ -55,8 +55,7 @@
         let _work = accepted.work;
         let caller = accepted.caller;
         let request_id = caller.request_id;
-        // The configuration may have changed while the call waited.
-        let view = self.view();
+        let view = accepted.view;
         let planned =
             plan(&view, caller, call, now).map_err(|refusal| refusal.request(request_id))?;
         let answered = if planned.call.idempotent {
--- a/crates/hemlockhitch_router/src/chat/mod.rs
+++ b/crates/hemlockhitch_router/src/chat/mod.rs
@@ -58,10 +58,14 @@
         body: ChatRequest,
     ) -> Result<ChatAnswer<B>, Refusal> {
         let request_id = accepted.caller.request_id;
-        // The configuration may have changed while the request waited.
-        let view = self.view();
-        let plan = plan::plan(&self.parts, &view, &accepted.caller, body, self.now())
-            .map_err(|refusal| refusal.request(request_id))?;
+        let plan = plan::plan(
+            &self.parts,
+            &accepted.view,
+            &accepted.caller,
+            body,
+            self.now(),
+        )
+        .map_err(|refusal| refusal.request(request_id))?;
         let version = plan.version_name.clone();
         let session = plan.session.clone();
         let mut relay = Relay::new(self.clone(), plan, accepted.work);
--- a/crates/hemlockhitch_router/src/chat/trusted.rs
+++ b/crates/hemlockhitch_router/src/chat/trusted.rs
@@ -6,8 +6,8 @@
 use super::{ChatAnswer, plan};
 use crate::backend::Backend;
 use crate::caller::Caller;
-use crate::refusal::{Refusal, RefusalKind};
-use crate::router::Router;
+use crate::refusal::Refusal;
+use crate::router::{Router, organisation_is_gone};
 use crate::view::View;
 
 /// A chat completion whose organisation was authenticated when it was accepted.
@@ -56,7 +56,7 @@
     let organisation = view
         .table
         .organisation(call.organisation.as_str())
-        .ok_or_else(|| unknown_organisation().request(call.request_id))?;
+        .ok_or_else(|| organisation_is_gone().request(call.request_id))?;
     Ok(Caller {
         request_id: call.request_id,
         organisation,
@@ -65,11 +65,3 @@
         idempotency_key: None,
     })
 }
-
-fn unknown_organisation() -> Refusal {
-    Refusal::not_run(
-        RefusalKind::NotAllowed,
-        "the organisation no longer exists",
-        "ask your operator to set it up again",
-    )
-}
--- a/crates/hemlockhitch_router/src/router.rs
+++ b/crates/hemlockhitch_router/src/router.rs
@@ -58,6 +58,8 @@
 /// A request that the node has taken in.
 pub(crate) struct Accepted<B: Backend> {
     pub(crate) caller: Caller,
+    /// The view that the caller's keys belong to.
+    pub(crate) view: Arc<View>,
     pub(crate) work: Work<B>,
 }
 
@@ -169,8 +171,9 @@
                 .request(caller.request_id)
         })?;
         let organisation = &view.table.organisations[caller.organisation].row;
+        let name = organisation.name.clone();
         let arrival = Arrival {
-            organisation: organisation.name.clone(),
+            organisation: name.clone(),
             weight: organisation.weight,
             limit_per_s: organisation.limit_per_s,
             class: class.or(caller.class).unwrap_or(Class::Chat),
@@ -179,8 +182,19 @@
         let admitted = self.admission.enter(arrival).await;
         let admitted = admitted
             .map_err(|turned_away| turned_away_refusal(turned_away).request(caller.request_id))?;
+        // The configuration may have changed while the request waited, and keys
+        // of one table mean nothing in another.
+        let view = self.view();
+        let organisation = view
+            .table
+            .organisation(name.as_str())
+            .ok_or_else(|| organisation_is_gone().request(caller.request_id))?;
         Ok(Accepted {
-            caller,
+            caller: Caller {
+                organisation,
+                ..caller
+            },
+            view,
             work: Work {
                 _counted: counted,
                 _admitted: admitted,
@@ -189,6 +203,15 @@
     }
 }
 
+/// Refuses a request whose organisation was removed meanwhile.
+pub(crate) fn organisation_is_gone() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::NotAllowed,
+        "the organisation no longer exists",
+        "ask your operator to set it up again",
+    )
+}
+
 fn too_many() -> Refusal {
     Refusal::not_run(
         RefusalKind::Overloaded,
--- a/crates/hemlockhitch_router/tests/request_path/policy.rs
+++ b/crates/hemlockhitch_router/tests/request_path/policy.rs
@@ -5,7 +5,9 @@
 use hemlockhitch_router::{Refusal, RefusalKind};
 use tokio::task::JoinSet;
 
-use crate::support::{Bench, IN_FLIGHT, chat_call, organisation, roll_out, version};
+use crate::support::{
+    Bench, IN_FLIGHT, chat_call, named_organisation, organisation, roll_out, version,
+};
 
 /// Requests that are sent while a roll-out runs.
 const REQUESTS: usize = 600;
@@ -159,3 +161,23 @@
     assert!(refusal.not_run);
     assert_eq!(bench.engine.calls().len(), 1);
 }
+
+#[tokio::test]
+async fn request_that_waited_keeps_its_organisation_when_the_table_changes() {
+    let mut bench = Bench::new();
+    bench.router.resize(1, 1);
+    let running = bench
+        .router
+        .chat(chat_call("small", "first"))
+        .await
+        .unwrap();
+    let router = bench.router.clone();
+    let waiting = tokio::spawn(async move { router.chat(chat_call("small", "second")).await });
+    while bench.router.in_flight().count() < 2 {
+        tokio::task::yield_now().await;
+    }
+    // It sorts before acme, so that acme's key changes; it may use no version.
+    bench.apply(vec![named_organisation("aardvark")]);
+    drop(running);
+    assert!(waiting.await.unwrap().is_ok());
+}
--- a/crates/hemlockhitch_router/tests/request_path/support/mod.rs
+++ b/crates/hemlockhitch_router/tests/request_path/support/mod.rs
@@ -235,6 +235,16 @@
     })
 }
 
+/// Another organisation, which may use nothing.
+pub fn named_organisation(name: &str) -> Row {
+    Row::Organisation(Organisation {
+        name: name.into(),
+        token_sha256: name.to_owned(),
+        weight: 1,
+        limit_per_s: 1,
+    })
+}
+
 /// The roll-out of small@2 in place of small@1.
 pub fn roll_out(percent: f64, state: RollOutState) -> Row {
     Row::RollOut(RollOut {
