Name the package of ports for what it holds

Cause: hemlockhitch_platform holds traits and the product's own HTTP clients; beside the folder platform/ its name would mislead. Change: the package is called hemlockhitch_ports. No behaviour changes. Before and after: cargo check of the workspace is clean. Conclusion: none further.

--- a/crates/hemlockhitch/src/node/administration.rs
+++ b/crates/hemlockhitch/src/node/administration.rs
@@ -11,7 +11,7 @@
 use hemlockhitch_http::admin::Administration;
 use hemlockhitch_model::{Clock, EndpointKey, NodeName, RequestId, SystemClock};
 use hemlockhitch_peer::{Health, Member, MemberState, Peers};
-use hemlockhitch_platform::key_value::HttpKeyValue;
+use hemlockhitch_ports::key_value::HttpKeyValue;
 use hemlockhitch_router::{Router, View};
 
 use super::backend::NodeBackend;
--- a/crates/hemlockhitch/src/node/backend.rs
+++ b/crates/hemlockhitch/src/node/backend.rs
@@ -7,7 +7,7 @@
 use hemlockhitch_model::{Now, SystemClock};
 use hemlockhitch_peer::ledger::PeerTransport;
 use hemlockhitch_peer::{Fitness, Ownership, PeerSlots, Peers, StopReason};
-use hemlockhitch_platform::key_value::HttpKeyValue;
+use hemlockhitch_ports::key_value::HttpKeyValue;
 use hemlockhitch_router::{Backend, Closed, Gate};
 
 use super::late_ledger::LateLedger;
--- a/crates/hemlockhitch/src/node/configuration.rs
+++ b/crates/hemlockhitch/src/node/configuration.rs
@@ -4,7 +4,7 @@
 use hemlockhitch_config::{Configuration, NumberedChange, RoutingTable};
 use hemlockhitch_peer::ConfigurationFeed;
 use hemlockhitch_peer::feed::{ConfigurationSource, SourceError};
-use hemlockhitch_platform::key_value::HttpKeyValue;
+use hemlockhitch_ports::key_value::HttpKeyValue;
 use hemlockhitch_router::{RollOuts, ViewFeed};
 
 /// Reads the configuration from the key-value service.
--- a/crates/hemlockhitch/src/node/deferred/lease.rs
+++ b/crates/hemlockhitch/src/node/deferred/lease.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hemlockhitch_platform::key_value::{KeyValue, KeyValueErrorKind, LeaseId};
+use hemlockhitch_ports::key_value::{KeyValue, KeyValueErrorKind, LeaseId};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
--- a/crates/hemlockhitch/src/node/deferred/mod.rs
+++ b/crates/hemlockhitch/src/node/deferred/mod.rs
@@ -9,7 +9,7 @@
 pub(super) use worker::Worker;
 
 use hemlockhitch_ledger::deferred::Queue;
-use hemlockhitch_platform::key_value::HttpKeyValue;
+use hemlockhitch_ports::key_value::HttpKeyValue;
 
 /// The node's queue of deferred work.
 pub(super) type NodeQueue = Queue<HttpKeyValue>;
--- a/crates/hemlockhitch/src/node/deferred/worker.rs
+++ b/crates/hemlockhitch/src/node/deferred/worker.rs
@@ -5,7 +5,7 @@
 
 use hemlockhitch_model::{Clock, NodeName, SystemClock};
 use hemlockhitch_peer::{Fitness, Peers};
-use hemlockhitch_platform::key_value::{HttpKeyValue, LeaseId};
+use hemlockhitch_ports::key_value::{HttpKeyValue, LeaseId};
 use hemlockhitch_router::Router;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
--- a/crates/hemlockhitch/src/node/session_key.rs
+++ b/crates/hemlockhitch/src/node/session_key.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hemlockhitch_platform::key_value::{KeyValue, KeyValueError, Swap, SwapOutcome};
+use hemlockhitch_ports::key_value::{KeyValue, KeyValueError, Swap, SwapOutcome};
 use hemlockhitch_router::SessionKey;
 use tokio::time::sleep;
 
--- a/crates/hemlockhitch/src/node/vms.rs
+++ b/crates/hemlockhitch/src/node/vms.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use hemlockhitch_platform::vm_list::{HttpVmList, Vm, VmList, VmListError};
+use hemlockhitch_ports::vm_list::{HttpVmList, Vm, VmList, VmListError};
 
 /// The platform's VM list, or none for a node that runs alone.
 #[derive(Clone, Debug)]
--- a/crates/hemlockhitch/tests/processes/failures/deferred.rs
+++ b/crates/hemlockhitch/tests/processes/failures/deferred.rs
@@ -5,7 +5,7 @@
 use hemlockhitch_client::{HttpClient, json_request};
 use hemlockhitch_config::Row;
 use hemlockhitch_config::configuration::Organisation;
-use hemlockhitch_platform::key_value::{HttpKeyValue, KeyValue};
+use hemlockhitch_ports::key_value::{HttpKeyValue, KeyValue};
 use hemlockhitch_standin::engine::expected_answer;
 use http::{HeaderName, HeaderValue, Method};
 use serde_json::{Value, json};
--- a/crates/hemlockhitch/tests/processes/support/fleet.rs
+++ b/crates/hemlockhitch/tests/processes/support/fleet.rs
@@ -8,7 +8,7 @@
 use hemlockhitch_config::admin::{ChangeAnswer, Progress, progress_path};
 use hemlockhitch_config::{Change, Configuration, Row, RowEdit};
 use hemlockhitch_model::ChangeId;
-use hemlockhitch_platform::vm_list::Vm;
+use hemlockhitch_ports::vm_list::Vm;
 use hemlockhitch_standin::caller::{Caller, ChatAsk};
 use http::{Method, header};
 use serde::Serialize;
--- a/crates/hemlockhitch_config/examples/conflict_rate.rs
+++ b/crates/hemlockhitch_config/examples/conflict_rate.rs
@@ -12,7 +12,7 @@
 use hemlockhitch_config::configuration::{DataCentre, Row};
 use hemlockhitch_config::{Change, ConfigStore, RowEdit, Submission};
 use hemlockhitch_model::{ChangeId, Now};
-use hemlockhitch_platform::key_value::MemoryKeyValue;
+use hemlockhitch_ports::key_value::MemoryKeyValue;
 
 const CHANGES: u64 = 8_000;
 const DAY_MS: u64 = 86_400_000;
--- a/crates/hemlockhitch_config/src/store/blob.rs
+++ b/crates/hemlockhitch_config/src/store/blob.rs
@@ -1,7 +1,7 @@
 //! Texts that are larger than one value of the key-value service.
 
 use hemlockhitch_model::ChangeId;
-use hemlockhitch_platform::key_value::{Entry, Expected, KeyValue, Swap};
+use hemlockhitch_ports::key_value::{Entry, Expected, KeyValue, Swap};
 use serde::{Deserialize, Serialize};
 
 use super::error::ConfigStoreError;
--- a/crates/hemlockhitch_config/src/store/error.rs
+++ b/crates/hemlockhitch_config/src/store/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the configuration store.
 
-use hemlockhitch_platform::key_value::{KeyValueError, KeyValueErrorKind};
+use hemlockhitch_ports::key_value::{KeyValueError, KeyValueErrorKind};
 use thiserror::Error;
 
 use crate::check::RowFault;
--- a/crates/hemlockhitch_config/src/store/mod.rs
+++ b/crates/hemlockhitch_config/src/store/mod.rs
@@ -8,7 +8,7 @@
 //! use hemlockhitch_config::store::ConfigStore;
 //! use hemlockhitch_config::{Change, RowEdit, Submission};
 //! use hemlockhitch_model::{ChangeId, Clock, SystemClock};
-//! use hemlockhitch_platform::key_value::MemoryKeyValue;
+//! use hemlockhitch_ports::key_value::MemoryKeyValue;
 //!
 //! # #[tokio::main(flavor = "current_thread")]
 //! # async fn main() -> Result<(), hemlockhitch_config::store::ConfigStoreError> {
@@ -46,7 +46,7 @@
 
 use std::sync::Arc;
 
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 
 use crate::change::NumberedChange;
 use crate::configuration::{Configuration, RETAINED_GENERATIONS};
--- a/crates/hemlockhitch_config/src/store/record.rs
+++ b/crates/hemlockhitch_config/src/store/record.rs
@@ -5,7 +5,7 @@
 //! is ever deleted, so a writer that was paused for any time fails its
 //! compare-and-swap.
 
-use hemlockhitch_platform::key_value::Entry;
+use hemlockhitch_ports::key_value::Entry;
 use serde::{Deserialize, Serialize};
 
 use super::blob::Blob;
--- a/crates/hemlockhitch_config/src/store/slot_parts.rs
+++ b/crates/hemlockhitch_config/src/store/slot_parts.rs
@@ -1,6 +1,6 @@
 //! The parts of changes that are too large for their slot.
 
-use hemlockhitch_platform::key_value::{Expected, KeyValue};
+use hemlockhitch_ports::key_value::{Expected, KeyValue};
 
 use super::blob::{self, PartVersion};
 use super::error::ConfigStoreError;
--- a/crates/hemlockhitch_config/src/store/snapshot.rs
+++ b/crates/hemlockhitch_config/src/store/snapshot.rs
@@ -1,6 +1,6 @@
 //! Writes and reads snapshots of the configuration.
 
-use hemlockhitch_platform::key_value::{Entry, Expected, KeyValue, Swap, SwapOutcome};
+use hemlockhitch_ports::key_value::{Entry, Expected, KeyValue, Swap, SwapOutcome};
 
 use super::blob::{self, Blob};
 use super::error::ConfigStoreError;
--- a/crates/hemlockhitch_config/src/store/submit.rs
+++ b/crates/hemlockhitch_config/src/store/submit.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use hemlockhitch_model::Now;
-use hemlockhitch_platform::key_value::{Expected, KeyValue, KeyValueErrorKind, Swap, SwapOutcome};
+use hemlockhitch_ports::key_value::{Expected, KeyValue, KeyValueErrorKind, Swap, SwapOutcome};
 
 use super::blob::{Blob, MAX_PART_BYTES};
 use super::error::ConfigStoreError;
--- a/crates/hemlockhitch_config/src/store/tail.rs
+++ b/crates/hemlockhitch_config/src/store/tail.rs
@@ -1,6 +1,6 @@
 //! Reads the changes that follow a generation.
 
-use hemlockhitch_platform::key_value::{Entry, Expected, KeyValue};
+use hemlockhitch_ports::key_value::{Entry, Expected, KeyValue};
 
 use super::error::ConfigStoreError;
 use super::record::{self, CHANGE_PREFIX, StoredBody, StoredChange};
--- a/crates/hemlockhitch_config/tests/store.rs
+++ b/crates/hemlockhitch_config/tests/store.rs
@@ -5,7 +5,7 @@
 use hemlockhitch_config::configuration::RETAINED_GENERATIONS;
 use hemlockhitch_config::store::{ConfigStore, ConfigStoreErrorKind, Submission};
 use hemlockhitch_config::{Change, RowEdit, RowKey};
-use hemlockhitch_platform::key_value::{KeyValue, MemoryKeyValue};
+use hemlockhitch_ports::key_value::{KeyValue, MemoryKeyValue};
 use insta::assert_snapshot;
 
 use support::{FaultyKeyValue, NOW, SwapFault, change, data_centre, set};
--- a/crates/hemlockhitch_config/tests/support/mod.rs
+++ b/crates/hemlockhitch_config/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use hemlockhitch_config::configuration::{DataCentre, Row};
 use hemlockhitch_config::{Change, RowEdit};
 use hemlockhitch_model::{ChangeId, Now};
-use hemlockhitch_platform::key_value::{
+use hemlockhitch_ports::key_value::{
     Entry, KeyValue, KeyValueError, KeyValueErrorKind, LeaseId, Listing, MemoryKeyValue, Swap,
     SwapOutcome, WatchBatch,
 };
--- a/crates/hemlockhitch_ctl/tests/contract.rs
+++ b/crates/hemlockhitch_ctl/tests/contract.rs
@@ -10,7 +10,7 @@
 use hemlockhitch_http::admin::{Administration, OperatorToken, Operators, Role, routes};
 use hemlockhitch_http::server::ApiServer;
 use hemlockhitch_model::{Now, RequestId};
-use hemlockhitch_platform::key_value::MemoryKeyValue;
+use hemlockhitch_ports::key_value::MemoryKeyValue;
 use insta::assert_snapshot;
 use sha2::{Digest, Sha256};
 
--- a/crates/hemlockhitch_ctl/tests/support/mod.rs
+++ b/crates/hemlockhitch_ctl/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use hemlockhitch_config::{Change, ConfigStore, Configuration, Submission};
 use hemlockhitch_ctl::{Environment, run};
 use hemlockhitch_model::{Class, Now, RequestId};
-use hemlockhitch_platform::key_value::MemoryKeyValue;
+use hemlockhitch_ports::key_value::MemoryKeyValue;
 use hemlockhitch_standin::server::{Handled, Server, json_answer, read_body};
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
--- a/crates/hemlockhitch_http/src/callers/deferred.rs
+++ b/crates/hemlockhitch_http/src/callers/deferred.rs
@@ -4,7 +4,7 @@
 use hemlockhitch_ledger::deferred::{Job, JobState, Queue};
 use hemlockhitch_ledger::{LedgerError, LedgerErrorKind};
 use hemlockhitch_model::{Class, Now, OrganisationName, RequestId};
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 use hemlockhitch_router::{Backend, Caller, ChatAnswer, Refusal, RefusalKind, Router, TrustedCall};
 use salvo::http::StatusCode;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
--- a/crates/hemlockhitch_ledger/benches/ledger/main.rs
+++ b/crates/hemlockhitch_ledger/benches/ledger/main.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
 
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 use store::DelayedStore;
 
 const ROUND_TRIP: Duration = Duration::from_millis(2);
--- a/crates/hemlockhitch_ledger/benches/ledger/memory.rs
+++ b/crates/hemlockhitch_ledger/benches/ledger/memory.rs
@@ -7,7 +7,7 @@
 use hemlockhitch_ledger::shard::SoleOwner;
 use hemlockhitch_ledger::{LedgerSettings, LedgerWriter};
 use hemlockhitch_model::{Clock, SystemClock};
-use hemlockhitch_platform::key_value::{
+use hemlockhitch_ports::key_value::{
     Entry, KeyValue, KeyValueError, LeaseId, Listing, Swap, SwapOutcome, WatchBatch,
 };
 use tokio::sync::Barrier;
--- a/crates/hemlockhitch_ledger/benches/ledger/store.rs
+++ b/crates/hemlockhitch_ledger/benches/ledger/store.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use hemlockhitch_platform::key_value::{
+use hemlockhitch_ports::key_value::{
     Entry, KeyValue, KeyValueError, LeaseId, Listing, MemoryKeyValue, Swap, SwapOutcome, WatchBatch,
 };
 use tokio::time::sleep;
--- a/crates/hemlockhitch_ledger/src/bill/sums.rs
+++ b/crates/hemlockhitch_ledger/src/bill/sums.rs
@@ -1,6 +1,6 @@
 //! The sums of all bills, read from the store.
 
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 use serde::{Deserialize, Serialize};
 
 use crate::LedgerError;
--- a/crates/hemlockhitch_ledger/src/deferred/find.rs
+++ b/crates/hemlockhitch_ledger/src/deferred/find.rs
@@ -1,7 +1,7 @@
 //! Finds a job by its id, and stores a job once for each id.
 
 use hemlockhitch_model::{OrganisationName, RequestId};
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 
 use super::{Job, Queue, keys, records};
 use crate::{LedgerError, LedgerErrorKind};
--- a/crates/hemlockhitch_ledger/src/deferred/poll.rs
+++ b/crates/hemlockhitch_ledger/src/deferred/poll.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use hemlockhitch_model::{NodeName, Now, RequestId};
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 
 use super::hold::Holds;
 use super::records::Holder;
--- a/crates/hemlockhitch_ledger/src/deferred/queue.rs
+++ b/crates/hemlockhitch_ledger/src/deferred/queue.rs
@@ -1,7 +1,7 @@
 //! The queue of deferred work.
 
 use hemlockhitch_model::{NodeName, Now, OrganisationName, RequestId};
-use hemlockhitch_platform::key_value::{Entry, KeyValue, LeaseId, Swap};
+use hemlockhitch_ports::key_value::{Entry, KeyValue, LeaseId, Swap};
 
 use super::hold::{Holds, TakenJob};
 use super::poll::{OwnClaims, Poll};
@@ -50,7 +50,7 @@
 /// ```
 /// use hemlockhitch_ledger::deferred::{Job, JobState, Queue, QueueSettings};
 /// # use hemlockhitch_model::{Clock, SystemClock};
-/// # use hemlockhitch_platform::key_value::{KeyValue, MemoryKeyValue};
+/// # use hemlockhitch_ports::key_value::{KeyValue, MemoryKeyValue};
 ///
 /// # async fn example(job: Job) -> Result<(), Box<dyn std::error::Error>> {
 /// # let now = SystemClock::new().now();
--- a/crates/hemlockhitch_ledger/src/deferred/records.rs
+++ b/crates/hemlockhitch_ledger/src/deferred/records.rs
@@ -1,7 +1,7 @@
 //! Values of deferred work, and how they are written once.
 
 use hemlockhitch_model::{NodeName, OrganisationName, RequestId};
-use hemlockhitch_platform::key_value::{
+use hemlockhitch_ports::key_value::{
     Entry, Expected, KeyValue, KeyValueErrorKind, Swap, SwapOutcome,
 };
 use serde::de::DeserializeOwned;
--- a/crates/hemlockhitch_ledger/src/error.rs
+++ b/crates/hemlockhitch_ledger/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the ledger.
 
-use hemlockhitch_platform::key_value::{KeyValueError, KeyValueErrorKind};
+use hemlockhitch_ports::key_value::{KeyValueError, KeyValueErrorKind};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
--- a/crates/hemlockhitch_ledger/src/lib.rs
+++ b/crates/hemlockhitch_ledger/src/lib.rs
@@ -10,7 +10,7 @@
 //! use hemlockhitch_ledger::shard::SoleOwner;
 //! use hemlockhitch_ledger::{Ledger, LedgerSettings, LedgerWriter, RoutedLedger, RoutedSettings};
 //! use hemlockhitch_model::{Clock, RequestId, SystemClock};
-//! use hemlockhitch_platform::key_value::MemoryKeyValue;
+//! use hemlockhitch_ports::key_value::MemoryKeyValue;
 //!
 //! # #[tokio::main(flavor = "current_thread")]
 //! # async fn main() -> Result<(), Box<dyn std::error::Error>> {
--- a/crates/hemlockhitch_ledger/src/log/batches.rs
+++ b/crates/hemlockhitch_ledger/src/log/batches.rs
@@ -1,6 +1,6 @@
 //! The keys and values of a log.
 
-use hemlockhitch_platform::key_value::{Entry, KeyValue};
+use hemlockhitch_ports::key_value::{Entry, KeyValue};
 
 use super::LOG_SLOTS;
 use crate::record::Batch;
--- a/crates/hemlockhitch_ledger/src/log/layout.rs
+++ b/crates/hemlockhitch_ledger/src/log/layout.rs
@@ -3,7 +3,7 @@
 //! A node that computed another shard for a key would look for its claim in the
 //! wrong log, so such a node opens no shard.
 
-use hemlockhitch_platform::key_value::{Entry, KeyValue, Swap, SwapOutcome};
+use hemlockhitch_ports::key_value::{Entry, KeyValue, Swap, SwapOutcome};
 use serde::{Deserialize, Serialize};
 
 use crate::{LedgerError, LedgerErrorKind};
--- a/crates/hemlockhitch_ledger/src/log/mod.rs
+++ b/crates/hemlockhitch_ledger/src/log/mod.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-use hemlockhitch_platform::key_value::{
+use hemlockhitch_ports::key_value::{
     Entry, Expected, KeyValue, KeyValueErrorKind, Swap, SwapOutcome,
 };
 use tokio::time::sleep;
--- a/crates/hemlockhitch_ledger/src/routed/mod.rs
+++ b/crates/hemlockhitch_ledger/src/routed/mod.rs
@@ -33,7 +33,7 @@
 /// use hemlockhitch_ledger::shard::SoleOwner;
 /// use hemlockhitch_ledger::{LedgerSettings, LedgerWriter, RoutedLedger, RoutedSettings};
 /// use hemlockhitch_model::SystemClock;
-/// use hemlockhitch_platform::key_value::MemoryKeyValue;
+/// use hemlockhitch_ports::key_value::MemoryKeyValue;
 ///
 /// let kv = MemoryKeyValue::new();
 /// let settings = LedgerSettings::new("n-1");
--- a/crates/hemlockhitch_ledger/src/snapshot/chunks.rs
+++ b/crates/hemlockhitch_ledger/src/snapshot/chunks.rs
@@ -1,8 +1,6 @@
 //! The chunks of a snapshot's text.
 
-use hemlockhitch_platform::key_value::{
-    Expected, KeyValue, KeyValueError, KeyValueErrorKind, Swap,
-};
+use hemlockhitch_ports::key_value::{Expected, KeyValue, KeyValueError, KeyValueErrorKind, Swap};
 
 use super::Head;
 use crate::LedgerError;
--- a/crates/hemlockhitch_ledger/src/snapshot/mod.rs
+++ b/crates/hemlockhitch_ledger/src/snapshot/mod.rs
@@ -8,7 +8,7 @@
 mod chunks;
 mod content;
 
-use hemlockhitch_platform::key_value::{
+use hemlockhitch_ports::key_value::{
     Entry, Expected, KeyValue, KeyValueErrorKind, Swap, SwapOutcome,
 };
 use serde::{Deserialize, Serialize};
--- a/crates/hemlockhitch_ledger/src/writer/mod.rs
+++ b/crates/hemlockhitch_ledger/src/writer/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use hemlockhitch_model::{Clock, Now};
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -40,7 +40,7 @@
 /// use hemlockhitch_ledger::shard::SoleOwner;
 /// use hemlockhitch_ledger::{LedgerSettings, LedgerWriter};
 /// use hemlockhitch_model::SystemClock;
-/// use hemlockhitch_platform::key_value::MemoryKeyValue;
+/// use hemlockhitch_ports::key_value::MemoryKeyValue;
 ///
 /// let settings = LedgerSettings::new("n-1");
 /// let writer = LedgerWriter::new(MemoryKeyValue::new(), SoleOwner, SystemClock::new(), settings);
--- a/crates/hemlockhitch_ledger/src/writer/reply.rs
+++ b/crates/hemlockhitch_ledger/src/writer/reply.rs
@@ -1,6 +1,6 @@
 //! Replies that wait for their batch.
 
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 use tokio::sync::oneshot;
 
 use crate::bill::Bill;
--- a/crates/hemlockhitch_ledger/src/writer/snapshots.rs
+++ b/crates/hemlockhitch_ledger/src/writer/snapshots.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
--- a/crates/hemlockhitch_ledger/src/writer/task.rs
+++ b/crates/hemlockhitch_ledger/src/writer/task.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hemlockhitch_model::Clock;
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout, timeout_at};
 
--- a/crates/hemlockhitch_ledger/tests/common/faulty.rs
+++ b/crates/hemlockhitch_ledger/tests/common/faulty.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use hemlockhitch_platform::key_value::{
+use hemlockhitch_ports::key_value::{
     Entry, KeyValue, KeyValueError, KeyValueErrorKind, LeaseId, Listing, MemoryKeyValue, Swap,
     SwapOutcome, WatchBatch,
 };
--- a/crates/hemlockhitch_ledger/tests/common/mod.rs
+++ b/crates/hemlockhitch_ledger/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use hemlockhitch_ledger::shard::SoleOwner;
 use hemlockhitch_ledger::{LedgerSettings, LedgerWriter};
 use hemlockhitch_model::{Class, Clock, ManualClock, Now, RequestId};
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 
 /// A writer that believes to own every shard.
 pub type Writer<K> = LedgerWriter<K, ManualClock, SoleOwner>;
--- a/crates/hemlockhitch_ledger/tests/deferred.rs
+++ b/crates/hemlockhitch_ledger/tests/deferred.rs
@@ -8,7 +8,7 @@
 use hemlockhitch_ledger::LedgerErrorKind;
 use hemlockhitch_ledger::deferred::{Finished, Job, JobState, Queue, QueueSettings};
 use hemlockhitch_model::{Class, Now};
-use hemlockhitch_platform::key_value::{KeyValue, LeaseId};
+use hemlockhitch_ports::key_value::{KeyValue, LeaseId};
 use tokio::time::sleep;
 
 const LEASE_MS: u64 = 10_000;
--- a/crates/hemlockhitch_ledger/tests/snapshots.rs
+++ b/crates/hemlockhitch_ledger/tests/snapshots.rs
@@ -11,7 +11,7 @@
 use hemlockhitch_ledger::shard::SoleOwner;
 use hemlockhitch_ledger::{LedgerErrorKind, LedgerSettings, LedgerWriter};
 use hemlockhitch_model::ManualClock;
-use hemlockhitch_platform::key_value::{KeyValue, Swap};
+use hemlockhitch_ports::key_value::{KeyValue, Swap};
 
 fn with(
     kv: &FaultyKeyValue,
--- a/crates/hemlockhitch_peer/src/exchange/mod.rs
+++ b/crates/hemlockhitch_peer/src/exchange/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use hemlockhitch_model::{Clock, Now};
-use hemlockhitch_platform::vm_list::VmList;
+use hemlockhitch_ports::vm_list::VmList;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
--- a/crates/hemlockhitch_peer/src/member/table.rs
+++ b/crates/hemlockhitch_peer/src/member/table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use hemlockhitch_model::Now;
-use hemlockhitch_platform::vm_list::Vm;
+use hemlockhitch_ports::vm_list::Vm;
 
 use super::row::{NEWS_REPEATS, Row};
 use super::{Health, Identity, Member, MemberState, NodeId, Status};
--- a/crates/hemlockhitch_peer/src/ownership/hand_over.rs
+++ b/crates/hemlockhitch_peer/src/ownership/hand_over.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hemlockhitch_model::{Clock, Now};
-use hemlockhitch_platform::key_value::{KeyValue, Swap, SwapOutcome};
+use hemlockhitch_ports::key_value::{KeyValue, Swap, SwapOutcome};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
--- a/crates/hemlockhitch_peer/src/ownership/keeper.rs
+++ b/crates/hemlockhitch_peer/src/ownership/keeper.rs
@@ -5,7 +5,7 @@
 
 use hemlockhitch_ledger::shard::ShardId;
 use hemlockhitch_model::Clock;
-use hemlockhitch_platform::key_value::{Entry, KeyValue, LeaseId, Swap, SwapOutcome};
+use hemlockhitch_ports::key_value::{Entry, KeyValue, LeaseId, Swap, SwapOutcome};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
--- a/crates/hemlockhitch_peer/src/ownership/mod.rs
+++ b/crates/hemlockhitch_peer/src/ownership/mod.rs
@@ -15,7 +15,7 @@
 
 use hemlockhitch_ledger::shard::{ShardId, ShardOwner, ShardOwners};
 use hemlockhitch_model::{EndpointName, NodeName, Now};
-use hemlockhitch_platform::key_value::LeaseId;
+use hemlockhitch_ports::key_value::LeaseId;
 
 use crate::member::{Member, MemberTable, NodeId};
 use crate::wire;
--- a/crates/hemlockhitch_peer/src/peers/builder.rs
+++ b/crates/hemlockhitch_peer/src/peers/builder.rs
@@ -7,8 +7,8 @@
 
 use hemlockhitch_ledger::call::LedgerService;
 use hemlockhitch_model::{Clock, DataCentreName, NodeName};
-use hemlockhitch_platform::key_value::KeyValue;
-use hemlockhitch_platform::vm_list::VmList;
+use hemlockhitch_ports::key_value::KeyValue;
+use hemlockhitch_ports::vm_list::VmList;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
--- a/crates/hemlockhitch_peer/src/peers/mod.rs
+++ b/crates/hemlockhitch_peer/src/peers/mod.rs
@@ -13,7 +13,7 @@
 use futures_util::future::join_all;
 use hemlockhitch_config::NumberedChange;
 use hemlockhitch_model::{Clock, Now};
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 
@@ -55,7 +55,7 @@
 /// # use hemlockhitch_model::SystemClock;
 /// # use hemlockhitch_peer::feed::ConfigurationSource;
 /// # use hemlockhitch_peer::{PeerError, Peers};
-/// # use hemlockhitch_platform::{key_value::KeyValue, vm_list::VmList};
+/// # use hemlockhitch_ports::{key_value::KeyValue, vm_list::VmList};
 /// # async fn start(
 /// #     store: impl KeyValue,
 /// #     vm_list: impl VmList,
--- a/crates/hemlockhitch_peer/tests/ownership.rs
+++ b/crates/hemlockhitch_peer/tests/ownership.rs
@@ -8,7 +8,7 @@
 use hemlockhitch_ledger::shard::{ShardId, ShardOwner};
 use hemlockhitch_model::{Clock, ManualClock, Now};
 use hemlockhitch_peer::{Bucket, Owner, Peers, Space};
-use hemlockhitch_platform::key_value::KeyValue;
+use hemlockhitch_ports::key_value::KeyValue;
 use tokio::time::{Instant, sleep};
 
 use support::frozen::FreezableNode;
--- a/crates/hemlockhitch_peer/tests/support/mod.rs
+++ b/crates/hemlockhitch_peer/tests/support/mod.rs
@@ -14,11 +14,11 @@
 use hemlockhitch_model::{ChangeId, Clock, Now, SystemClock};
 use hemlockhitch_peer::feed::{ConfigurationSource, SourceError};
 use hemlockhitch_peer::{Fitness, PeerSettings, Peers};
-use hemlockhitch_platform::key_value::{
+use hemlockhitch_ports::key_value::{
     Entry, KeyValue, KeyValueError, KeyValueErrorKind, LeaseId, Listing, MemoryKeyValue, Swap,
     SwapOutcome, WatchBatch,
 };
-use hemlockhitch_platform::vm_list::{Vm, VmList, VmListError};
+use hemlockhitch_ports::vm_list::{Vm, VmList, VmListError};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
--- a/crates/hemlockhitch_platform/benches/store.rs
+++ b/crates/hemlockhitch_ports/benches/store.rs
@@ -1,11 +1,11 @@
 //! Times of calls to the key-value service: the store in memory alone, and the
 //! HTTP client with the stand-in over loopback.
 //!
-//! Run with `cargo bench -p hemlockhitch_platform --bench store`.
+//! Run with `cargo bench -p hemlockhitch_ports --bench store`.
 
 use std::time::{Duration, Instant};
 
-use hemlockhitch_platform::key_value::{Expected, HttpKeyValue, KeyValue, MemoryKeyValue, Swap};
+use hemlockhitch_ports::key_value::{Expected, HttpKeyValue, KeyValue, MemoryKeyValue, Swap};
 use hemlockhitch_standin::key_value::start_with;
 use tokio::sync::mpsc;
 
--- a/crates/hemlockhitch_platform/src/lib.rs
+++ b/crates/hemlockhitch_ports/src/lib.rs
@@ -4,7 +4,7 @@
 //! new client and nothing more.
 //!
 //! ```no_run
-//! use hemlockhitch_platform::key_value::{HttpKeyValue, KeyValue, KeyValueError};
+//! use hemlockhitch_ports::key_value::{HttpKeyValue, KeyValue, KeyValueError};
 //!
 //! async fn read_generation() -> Result<Option<String>, KeyValueError> {
 //!     let store = HttpKeyValue::new("10.0.0.5:7000").limit_ms(500);
--- a/crates/hemlockhitch_platform/tests/key_value_contract.rs
+++ b/crates/hemlockhitch_ports/tests/key_value_contract.rs
@@ -3,7 +3,7 @@
 
 use std::fmt::Debug;
 
-use hemlockhitch_platform::key_value::{
+use hemlockhitch_ports::key_value::{
     Expected, HttpKeyValue, KeyValue, KeyValueErrorKind, MemoryKeyValue, Swap, SwapOutcome,
 };
 use hemlockhitch_standin::key_value::start_with;
--- a/crates/hemlockhitch_platform/tests/key_value_faults.rs
+++ b/crates/hemlockhitch_ports/tests/key_value_faults.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use hemlockhitch_client::HttpClient;
-use hemlockhitch_platform::StoreCallCounts;
-use hemlockhitch_platform::key_value::message::Done;
-use hemlockhitch_platform::key_value::{
+use hemlockhitch_ports::StoreCallCounts;
+use hemlockhitch_ports::key_value::message::Done;
+use hemlockhitch_ports::key_value::{
     HttpKeyValue, KeyValue, KeyValueError, KeyValueErrorKind, Swap,
 };
 use hemlockhitch_standin::key_value::{CALLS_PATH, FAULTS_PATH, Faults, KeyValueStandin, start};
--- a/crates/hemlockhitch_platform/tests/key_value_fuzz.rs
+++ b/crates/hemlockhitch_ports/tests/key_value_fuzz.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hemlockhitch_platform::key_value::{
+use hemlockhitch_ports::key_value::{
     Entry, Expected, KeyValue, KeyValueErrorKind, LeaseId, MemoryKeyValue, Swap, SwapOutcome,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
--- a/crates/hemlockhitch_platform/tests/key_value_time.rs
+++ b/crates/hemlockhitch_ports/tests/key_value_time.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hemlockhitch_platform::key_value::{KeyValue, MemoryKeyValue, Swap};
+use hemlockhitch_ports::key_value::{KeyValue, MemoryKeyValue, Swap};
 use tokio::time::{Instant, advance};
 
 const TTL_MS: u64 = 1_000;
--- a/crates/hemlockhitch_platform/tests/rating.rs
+++ b/crates/hemlockhitch_ports/tests/rating.rs
@@ -2,7 +2,7 @@
 //! stand-in.
 
 use hemlockhitch_model::{Class, RequestId};
-use hemlockhitch_platform::rating::{HttpRating, Rating, RatingRequest, RatingService};
+use hemlockhitch_ports::rating::{HttpRating, Rating, RatingRequest, RatingService};
 use hemlockhitch_standin::rating::{RatingSettings, RatingStandin, start};
 use hemlockhitch_standin::server::{Server, json_answer};
 use http::StatusCode;
--- a/crates/hemlockhitch_platform/tests/vm_list.rs
+++ b/crates/hemlockhitch_ports/tests/vm_list.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hemlockhitch_client::HttpClient;
-use hemlockhitch_platform::vm_list::{HttpVmList, VMS_PATH, Vm, VmList};
+use hemlockhitch_ports::vm_list::{HttpVmList, VMS_PATH, Vm, VmList};
 use hemlockhitch_standin::vm_list::{VmListSettings, VmListStandin, start};
 
 const LONG_MS: u64 = 60_000;
--- a/crates/hemlockhitch_platform/tests/weights.rs
+++ b/crates/hemlockhitch_ports/tests/weights.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hemlockhitch_model::VersionName;
-use hemlockhitch_platform::weights::{HttpWeights, WeightStore, WeightsError};
+use hemlockhitch_ports::weights::{HttpWeights, WeightStore, WeightsError};
 use hemlockhitch_standin::weights::{WeightsSettings, WeightsStandin, start};
 
 const LONG_MS: u64 = 60_000;
--- a/crates/hemlockhitch_standin/examples/demo/deployment.rs
+++ b/crates/hemlockhitch_standin/examples/demo/deployment.rs
@@ -11,7 +11,7 @@
 use hemlockhitch_config::{Change, Configuration, Row, RowEdit};
 use hemlockhitch_ledger::bill::{BillSums, read_sums};
 use hemlockhitch_model::{ChangeId, Clock, SystemClock};
-use hemlockhitch_platform::vm_list::Vm;
+use hemlockhitch_ports::vm_list::Vm;
 use hemlockhitch_standin::engine::{EngineFault, EngineSettings, EngineStandin};
 use hemlockhitch_standin::key_value::KeyValueStandin;
 use hemlockhitch_standin::plain_service::PlainServiceStandin;
--- a/crates/hemlockhitch_standin/examples/standin_vm_list.rs
+++ b/crates/hemlockhitch_standin/examples/standin_vm_list.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use hemlockhitch_platform::vm_list::Vm;
+use hemlockhitch_ports::vm_list::Vm;
 use hemlockhitch_standin::command_line::{self, CommandLineError};
 use hemlockhitch_standin::vm_list::{self, VmListSettings};
 
--- a/crates/hemlockhitch_standin/src/key_value/mod.rs
+++ b/crates/hemlockhitch_standin/src/key_value/mod.rs
@@ -19,8 +19,8 @@
 use std::io;
 use std::net::SocketAddr;
 
-use hemlockhitch_platform::StoreCallCounts;
-use hemlockhitch_platform::key_value::MemoryKeyValue;
+use hemlockhitch_ports::StoreCallCounts;
+use hemlockhitch_ports::key_value::MemoryKeyValue;
 
 use crate::server::Server;
 use service::Service;
--- a/crates/hemlockhitch_standin/src/key_value/service.rs
+++ b/crates/hemlockhitch_standin/src/key_value/service.rs
@@ -4,15 +4,15 @@
 use std::io;
 
 use bytes::Bytes;
-use hemlockhitch_platform::key_value::message::{
+use hemlockhitch_ports::key_value::message::{
     Done, GET_PATH, GetRequest, LEASE_GRANT_PATH, LEASE_RENEW_PATH, LEASE_REVOKE_PATH, LIST_PATH,
     LeaseGrantRequest, LeaseRequest, ListRequest, Refusal, RefusalCode, SWAP_PATH, WATCH_PATH,
     WatchRequest,
 };
-use hemlockhitch_platform::key_value::{
+use hemlockhitch_ports::key_value::{
     KeyValue, KeyValueError, KeyValueErrorKind, MemoryKeyValue, Swap,
 };
-use hemlockhitch_platform::{CallKind, StoreCallCounts, StoreCalls};
+use hemlockhitch_ports::{CallKind, StoreCallCounts, StoreCalls};
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
--- a/crates/hemlockhitch_standin/src/rating/mod.rs
+++ b/crates/hemlockhitch_standin/src/rating/mod.rs
@@ -20,7 +20,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
-use hemlockhitch_platform::rating::{RATE_PATH, RatingRequest};
+use hemlockhitch_ports::rating::{RATE_PATH, RatingRequest};
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 
--- a/crates/hemlockhitch_standin/src/rating/settings.rs
+++ b/crates/hemlockhitch_standin/src/rating/settings.rs
@@ -4,7 +4,7 @@
 
 use fastrand::Rng;
 use hemlockhitch_model::{RequestId, VersionName};
-use hemlockhitch_platform::rating::{Rating, RatingRequest};
+use hemlockhitch_ports::rating::{Rating, RatingRequest};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
--- a/crates/hemlockhitch_standin/src/vm_list/editions.rs
+++ b/crates/hemlockhitch_standin/src/vm_list/editions.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use hemlockhitch_platform::vm_list::Vm;
+use hemlockhitch_ports::vm_list::Vm;
 use tokio::time::Instant;
 
 /// How many editions are kept.
--- a/crates/hemlockhitch_standin/src/vm_list/mod.rs
+++ b/crates/hemlockhitch_standin/src/vm_list/mod.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hemlockhitch_platform::vm_list::{VMS_PATH, Vm};
+use hemlockhitch_ports::vm_list::{VMS_PATH, Vm};
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
--- a/crates/hemlockhitch_standin/src/weights/mod.rs
+++ b/crates/hemlockhitch_standin/src/weights/mod.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hemlockhitch_platform::weights::{RESERVE_PATH, ReserveRefusal, ReserveRequest, Reserved};
+use hemlockhitch_ports::weights::{RESERVE_PATH, ReserveRefusal, ReserveRequest, Reserved};
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::Instant;
