--- a/crates/hemlockhitch/src/command_line/mod.rs
+++ b/crates/hemlockhitch/src/command_line/mod.rs
@@ -12,6 +12,10 @@
     Run(PathBuf),
     /// Check the settings in the file.
     Check(PathBuf),
+    /// Run a gateway on the users' platform with the settings in the file.
+    RunGateway(PathBuf),
+    /// Check the settings of a gateway in the file.
+    CheckGateway(PathBuf),
     /// Print how to use the command.
     Help(String),
     /// Print the version.
@@ -59,16 +63,21 @@
         .opt_str("settings")
         .map(PathBuf::from)
         .ok_or(CommandLineError::NoSettings)?;
-    if matches.opt_present("check") {
-        return Ok(Command::Check(file));
-    }
-    Ok(Command::Run(file))
+    let check = matches.opt_present("check");
+    let gateway = matches.opt_present("gateway");
+    Ok(match (gateway, check) {
+        (false, false) => Command::Run(file),
+        (false, true) => Command::Check(file),
+        (true, false) => Command::RunGateway(file),
+        (true, true) => Command::CheckGateway(file),
+    })
 }
 
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "settings", "settings of the node (INI)", "FILE");
     options.optflag("", "check", "check the settings and exit");
+    options.optflag("", "gateway", "run as a gateway on the users' platform");
     options.optflag("h", "help", "print this help and exit");
     options.optflag("V", "version", "print the version and exit");
     options
@@ -76,7 +85,7 @@
 
 fn usage(options: &Options) -> String {
     options.usage(
-        "Usage: hemlockhitch --settings FILE [--check]\n\n\
+        "Usage: hemlockhitch --settings FILE [--gateway] [--check]\n\n\
          Runs one router node until SIGTERM, then finishes its requests and exits.\n\
          Exit codes: 0 stopped or checked, 1 could not start, 2 bad command line or settings.",
     )
--- /dev/null
+++ b/crates/hemlockhitch/src/gateway/derived.rs
@@ -0,0 +1,50 @@
+//! Settings of the gateway's packages, derived from those of the node.
+
+use std::time::Duration;
+
+use hemlockhitch_config::settings::GatewayFile;
+use hemlockhitch_gateway::GatewaySettings;
+use hemlockhitch_routing::allowance::RepeatSettings;
+
+/// Kept free before the bound on API keys that were taken away, in milliseconds: for
+/// the way to an endpoint and a late wake-up.
+const REVOKE_MARGIN_MS: u64 = 600;
+
+/// How long a watch of the store waits, in milliseconds: each answer proves that the
+/// configuration is recent, and two must fit into the bound on API keys.
+const WATCH_MS: u64 = 1_900;
+
+/// How long an endpoint that vanished during an outage of the store may take to come
+/// back, in milliseconds: the platform states two seconds.
+const VANISHED_MS: u64 = 2_200;
+
+pub(super) fn gateway(file: &GatewayFile) -> GatewaySettings {
+    let bounds = &file.bounds;
+    GatewaySettings {
+        node: file.node.name.clone(),
+        data_centre: file.node.data_centre.clone(),
+        fresh_ms: bounds.revoke_ms.saturating_sub(REVOKE_MARGIN_MS),
+        watch_ms: WATCH_MS,
+        repeats: RepeatSettings {
+            per_request: bounds.repeat_ratio,
+            allowance: bounds.repeat_allowance,
+            window_ms: millis(bounds.repeat_window_s),
+        },
+        cold_factor: bounds.cold_factor,
+        cold_allowance: bounds.cold_allowance,
+        part_kept_ms: millis(bounds.part_kept_s),
+        session_ms: millis(bounds.session_s),
+        vanished_ms: VANISHED_MS,
+        in_flight: usize::try_from(bounds.in_flight).unwrap_or(usize::MAX),
+    }
+}
+
+/// Returns how long the gateway may take to stop.
+pub(super) fn grace(file: &GatewayFile) -> Duration {
+    Duration::from_millis(millis(file.bounds.grace_s))
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn millis(seconds: f64) -> u64 {
+    (seconds * 1_000.0) as u64
+}
--- /dev/null
+++ b/crates/hemlockhitch/src/gateway/mod.rs
@@ -0,0 +1,107 @@
+//! A node that runs as a gateway on the users' platform.
+
+mod derived;
+
+use std::time::Duration;
+
+use hemlockhitch_adapter::{PlatformDialect, PlatformStore};
+use hemlockhitch_config::settings::GatewayFile;
+use hemlockhitch_gateway::{Front, Gateway, Readiness, Shared, announce, follow, steer};
+use hemlockhitch_http::server::ApiServer;
+use hemlockhitch_model::BootClock;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use crate::error::{NodeError, NodeErrorKind};
+use crate::metrics_page;
+
+/// How long a stopping node goes on taking connections: the balancer notices after
+/// two questions, one a second.
+const BALANCER_LAG: Duration = Duration::from_millis(2_300);
+
+/// Kept free at the end of the time to stop, in milliseconds.
+const STOP_MARGIN_MS: u64 = 600;
+
+/// A running gateway.
+pub struct GatewayNode {
+    file: GatewayFile,
+    front: Front<PlatformDialect, BootClock>,
+    readiness: Readiness<PlatformDialect, BootClock>,
+    metrics: ApiServer,
+    background: Vec<JoinHandle<()>>,
+}
+
+impl GatewayNode {
+    /// Starts a gateway. It returns once every address is listened on; what the
+    /// store holds arrives in the background.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on.
+    pub async fn start(file: GatewayFile) -> Result<Self, NodeError> {
+        let store = PlatformStore::new(file.key_value.to_string());
+        let shared = Shared::new(PlatformDialect, BootClock::new(), derived::gateway(&file));
+        let readiness = Readiness::new(shared.clone());
+        let gateway = Gateway::new(shared.clone());
+        let listen = file.listen;
+        let front = Front::start(listen.callers, gateway)
+            .await
+            .map_err(|error| NodeError::listen(listen.callers, &error))?;
+        hemlockhitch_gateway::serve_readiness(listen.readiness, readiness.clone())
+            .await
+            .map_err(|error| NodeError::listen(listen.readiness, &error))?;
+        let metrics = ApiServer::start(listen.metrics, metrics_page::routes())
+            .await
+            .map_err(|error| NodeError::new(NodeErrorKind::Listen, error.to_string()))?;
+        let background = vec![
+            tokio::spawn(follow(shared.clone(), store.clone())),
+            tokio::spawn(announce(store.clone(), file.node.name.clone())),
+            tokio::spawn(steer(shared, store)),
+        ];
+        tracing::info!(event = "HH0920", node = %file.node.name, callers = %front.address(), "gateway started");
+        Ok(Self {
+            file,
+            front,
+            readiness,
+            metrics,
+            background,
+        })
+    }
+
+    /// Takes in that the settings file may have changed; a file with a fault changes
+    /// nothing.
+    pub fn reload(&self, read: Result<GatewayFile, impl std::fmt::Display>) {
+        match read {
+            Ok(file) if file == self.file => {
+                tracing::info!(event = "HH0921", "settings unchanged");
+            }
+            Ok(_) => {
+                tracing::warn!(
+                    event = "HH0922",
+                    "settings changed; they apply at the next start"
+                );
+            }
+            Err(error) => {
+                tracing::error!(event = "HH0923", %error, "changed settings have a fault");
+            }
+        }
+    }
+
+    /// Stops the gateway: it takes no more connections and finishes its requests.
+    pub async fn stop(self) {
+        let started = Instant::now();
+        self.readiness.stop();
+        self.front.close_connections();
+        tracing::info!(event = "HH0924", node = %self.file.node.name, "gateway stops");
+        sleep(BALANCER_LAG).await;
+        let limit = derived::grace(&self.file)
+            .saturating_sub(Duration::from_millis(STOP_MARGIN_MS))
+            .saturating_sub(started.elapsed());
+        let left = self.front.stop(limit).await;
+        for task in &self.background {
+            task.abort();
+        }
+        self.metrics.stop(Duration::ZERO).await;
+        tracing::info!(event = "HH0925", node = %self.file.node.name, left, "gateway stopped");
+    }
+}
--- a/crates/hemlockhitch/src/lib.rs
+++ b/crates/hemlockhitch/src/lib.rs
@@ -5,10 +5,12 @@
 
 pub mod command_line;
 mod error;
+mod gateway;
 mod log;
 mod metrics_page;
 mod node;
 
 pub use error::{NodeError, NodeErrorKind};
+pub use gateway::GatewayNode;
 pub use log::start_log;
 pub use node::{Addresses, Node};
--- a/crates/hemlockhitch/tests/events.rs
+++ b/crates/hemlockhitch/tests/events.rs
@@ -35,6 +35,7 @@
 
 fn source_events() -> Vec<Event> {
     let mut files = Vec::new();
+    source_files(&workspace().join("platform/src"), &mut files);
     for package in fs::read_dir(workspace().join("crates")).expect("the packages") {
         let sources = package.expect("a package").path().join("src");
         if sources.is_dir() {
--- a/crates/hemlockhitch_config/src/settings/mod.rs
+++ b/crates/hemlockhitch_config/src/settings/mod.rs
@@ -23,7 +23,9 @@
 //! ```
 
 mod builder;
+mod decimal;
 mod fault;
+mod gateway;
 mod number;
 mod reader;
 mod sections;
@@ -32,6 +34,7 @@
 
 pub use builder::SettingsBuilder;
 pub use fault::{Fault, FaultKind, SettingsError};
+pub use gateway::{GatewayBounds, GatewayFile, GatewayListen};
 pub use types::{
     AdvertiseSettings, ControlSettings, LimitSettings, ListenSettings, LogFormat, LogSettings,
     NodeSettings, OperatorToken, Permission, PlatformSettings, Settings,
--- a/crates/hemlockhitch_config/src/settings/number.rs
+++ b/crates/hemlockhitch_config/src/settings/number.rs
@@ -58,6 +58,7 @@
 
 const LIMITS: &str = "limits";
 const CONTROL: &str = "control";
+const GATEWAY: &str = "gateway";
 
 pub(super) const BODY_BYTES: Number =
     Number::new(LIMITS, "body_bytes", 1 << 20, (1 << 10, 16 << 20));
@@ -76,3 +77,6 @@
 pub(super) const BUCKETS: Number = Number::new(CONTROL, "buckets", 64, (1, 4_096));
 pub(super) const WATCHERS_PER_DATA_CENTRE: Number =
     Number::new(CONTROL, "watchers_per_data_centre", 2, (1, 8));
+
+pub(super) const REVOKE_MS: Number = Number::new(GATEWAY, "revoke_ms", 5_000, (1_000, 600_000));
+pub(super) const GATEWAY_IN_FLIGHT: Number = Number::new(GATEWAY, "in_flight", 1_000, (1, 100_000));
--- a/crates/hemlockhitch_config/src/settings/sections.rs
+++ b/crates/hemlockhitch_config/src/settings/sections.rs
@@ -44,7 +44,7 @@
     })
 }
 
-fn node(reader: &mut Reader) -> Option<NodeSettings> {
+pub(super) fn node(reader: &mut Reader) -> Option<NodeSettings> {
     let name = reader.name("node", "name");
     let data_centre = reader.name("node", "data_centre");
     let region = reader.name("node", "region");
@@ -104,7 +104,7 @@
     }
 }
 
-fn log(reader: &mut Reader) -> LogSettings {
+pub(super) fn log(reader: &mut Reader) -> LogSettings {
     let mut log = LogSettings::default();
     if let Some(entry) = reader.take("log", "format") {
         match entry.value.as_str() {
--- /dev/null
+++ b/crates/hemlockhitch_gateway/src/attempt/mod.rs
@@ -0,0 +1,70 @@
+//! One request from its head to its answer's end.
+//!
+//! Admit, choose version and model, choose an endpoint, take a place, send, judge;
+//! then answer, try another endpoint, resume or give up at once.
+
+mod admit;
+mod answer;
+mod headers;
+mod job;
+mod place;
+mod relay;
+mod run;
+mod send;
+mod stream;
+
+pub use answer::AnswerBody;
+
+use std::convert::Infallible;
+
+use hemlockhitch_model::Clock;
+use http::{Request, Response};
+use hyper::body::Incoming;
+
+use crate::dialect::Dialect;
+use crate::state::Shared;
+use admit::Admission;
+
+/// Answers requests; clones share the state.
+#[derive(Debug)]
+pub struct Gateway<D, C> {
+    shared: Shared<D, C>,
+}
+
+impl<D, C> Clone for Gateway<D, C> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: self.shared.clone(),
+        }
+    }
+}
+
+impl<D: Dialect, C: Clock> Gateway<D, C> {
+    /// Creates the gateway of a node.
+    #[must_use]
+    pub fn new(shared: Shared<D, C>) -> Self {
+        Self { shared }
+    }
+
+    /// Returns the state that the gateway works on.
+    #[must_use]
+    pub fn shared(&self) -> &Shared<D, C> {
+        &self.shared
+    }
+
+    /// Answers one request.
+    ///
+    /// # Errors
+    ///
+    /// Never fails: each failure is an answer.
+    pub async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Infallible> {
+        let response = match self.admit(request).await {
+            Admission::Admitted(job) => self.run(*job).await,
+            Admission::Refused(refusal) => refusal.into_response(),
+        };
+        Ok(response)
+    }
+}
--- /dev/null
+++ b/crates/hemlockhitch_gateway/src/attempt/place.rs
@@ -0,0 +1,151 @@
+//! A place at an endpoint, taken for one try.
+
+use std::net::SocketAddr;
+
+use hemlockhitch_model::{Clock, EndpointKey, EndpointName, Now, VersionName};
+use hemlockhitch_routing::fleet::Sign;
+use hemlockhitch_routing::place::{Demand, Prompt, Wanted, choose_endpoint};
+use hemlockhitch_routing::roll_out::{Observation, RollOut, Stage};
+use hemlockhitch_routing::{hash_bytes, mix};
+
+use super::job::{Job, Log};
+use crate::dialect::Dialect;
+use crate::state::{Shared, State};
+
+/// A place at an endpoint; it is free again when it is dropped.
+#[derive(Debug)]
+pub(super) struct Place<D: Dialect, C: Clock> {
+    shared: Shared<D, C>,
+    pub(super) endpoint: EndpointKey,
+    pub(super) name: EndpointName,
+    pub(super) address: SocketAddr,
+    version: VersionName,
+    unread_tokens: u64,
+    taken_mono_ms: u64,
+}
+
+impl<D: Dialect, C: Clock> Place<D, C> {
+    /// Chooses an endpoint and takes a place; `None` if none may be asked now.
+    pub(super) fn take(shared: &Shared<D, C>, job: &Job<D, C>, log: &Log) -> Option<Self> {
+        let now = shared.now();
+        let settings = shared.settings();
+        let mut state = shared.state();
+        let state = &mut *state;
+        let service = state.catalogue.as_ref()?.find_service(&job.service)?;
+        let cold_per_s = state.cold_per_s(service, settings);
+        let model = job.model_of(log.size).or(job.terms.model.as_deref());
+        let model_hash = model.map_or(0, hash_bytes);
+        let prompt = (job.terms.prompt_tokens > 0).then_some(Prompt {
+            model_hash,
+            parts: &job.terms.parts,
+            tokens: job.terms.prompt_tokens,
+            kept_ms: settings.part_kept_ms,
+        });
+        let demand = Demand {
+            service: &job.service,
+            home: &settings.data_centre,
+            tried: &log.tried,
+            prompt,
+            cold_per_s,
+            draw: mix(hash_bytes(&job.terms.request), log.tried.len() as u64),
+        };
+        let choose = |wanted: Wanted<'_>| choose_endpoint(&state.fleet, &demand, wanted, now);
+        let endpoint = choose_version(state, job, choose, now)?;
+        let known = state.fleet.get_mut(endpoint)?;
+        let unread_tokens = job.terms.prompt_tokens;
+        known.in_flight += 1;
+        known.unread_tokens += unread_tokens;
+        if known.is_cold(now) {
+            known.cold_pace.count(now);
+        }
+        for part in &job.terms.parts {
+            known.note_part(model_hash, part.id, now);
+        }
+        let version = known.entry.version.clone();
+        state.sessions.note(job.session, &version, now);
+        Some(Self {
+            shared: shared.clone(),
+            endpoint,
+            name: known.entry.name.clone(),
+            address: known.entry.address,
+            version,
+            unread_tokens,
+            taken_mono_ms: now.mono_ms,
+        })
+    }
+
+    /// Takes in that the endpoint has read the prompt.
+    pub(super) fn end_reading(&mut self) {
+        let unread_tokens = std::mem::take(&mut self.unread_tokens);
+        if let Some(known) = self.shared.state().fleet.get_mut(self.endpoint) {
+            known.unread_tokens = known.unread_tokens.saturating_sub(unread_tokens);
+        }
+    }
+
+    /// Takes in what a try showed of the endpoint and its version.
+    pub(super) fn note(&self, sign: Sign, job: &Job<D, C>) {
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        if let Some(known) = state.fleet.get_mut(self.endpoint)
+            && known.health.note(sign, now)
+        {
+            let name = &self.name;
+            let failing_ratio = known.health.failing_ratio();
+            tracing::warn!(event = "HH1221", %name, failing_ratio, ?sign, "endpoint left alone");
+        }
+        if sign == Sign::Unreachable {
+            return;
+        }
+        if let Some(roll_out) = state.roll_outs.get_mut(&job.service) {
+            let seen = Observation {
+                kind_hash: hash_bytes(&job.route.name),
+                of_target: roll_out.order().target == self.version,
+                failed: sign == Sign::Bad,
+                took_ms: now.mono_ms.saturating_sub(self.taken_mono_ms),
+            };
+            roll_out.evidence().note(seen);
+        }
+    }
+
+    /// Returns how long the place has been held, in milliseconds.
+    pub(super) fn held_ms(&self) -> u64 {
+        let now = self.shared.now();
+        now.mono_ms.saturating_sub(self.taken_mono_ms)
+    }
+}
+
+impl<D: Dialect, C: Clock> Drop for Place<D, C> {
+    fn drop(&mut self) {
+        self.end_reading();
+        if let Some(known) = self.shared.state().fleet.get_mut(self.endpoint) {
+            known.in_flight = known.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+/// Chooses an endpoint of the version that a roll-out wants, or of the others if
+/// that one has none.
+fn choose_version<D: Dialect, C: Clock>(
+    state: &State,
+    job: &Job<D, C>,
+    choose: impl Fn(Wanted<'_>) -> Option<EndpointKey>,
+    now: Now,
+) -> Option<EndpointKey> {
+    let Some(roll_out) = state.roll_outs.get(&job.service) else {
+        return choose(Wanted::Any);
+    };
+    let served_by = state.sessions.version(job.session, now);
+    let wanted = roll_out.wanted(job.session, served_by);
+    choose(wanted).or_else(|| fall_back(roll_out, wanted).and_then(&choose))
+}
+
+/// Returns the versions that stand in for those wanted. A new version never stands
+/// in for the others while it is on trial, nor after it was taken back.
+fn fall_back<'a>(roll_out: &RollOut, wanted: Wanted<'a>) -> Option<Wanted<'a>> {
+    match (roll_out.stage(), wanted) {
+        (Stage::Completed | Stage::RolledBack, _) | (Stage::Trial, Wanted::Not(_)) => None,
+        (_, Wanted::Only(version)) => Some(Wanted::Not(version)),
+        (_, Wanted::Not(version)) => Some(Wanted::Only(version)),
+        (_, Wanted::Any) => None,
+    }
+}
--- /dev/null
+++ b/crates/hemlockhitch_gateway/src/feed/apply.rs
@@ -0,0 +1,129 @@
+//! Takes one stored key into the node's state.
+
+use hemlockhitch_model::{Clock, Now, ServiceName};
+use hemlockhitch_ports::key_value::Entry;
+use hemlockhitch_routing::roll_out::{Order, RollOut, Stage};
+
+use crate::dialect::{Change, Dialect, Subject};
+use crate::presence;
+use crate::state::{Shared, State};
+use crate::steward;
+
+pub(super) fn write<D: Dialect, C: Clock>(shared: &Shared<D, C>, entry: &Entry, now: Now) {
+    if let Some(node) = entry.key.strip_prefix(presence::PREFIX) {
+        shared.state().nodes.insert(node.to_owned());
+        return;
+    }
+    if let Some(service) = entry.key.strip_prefix(steward::STAGE_PREFIX) {
+        let service = ServiceName::from(service);
+        steward::learn_stage(&mut shared.state(), &service, entry);
+        return;
+    }
+    if let Some(fingerprint) = entry.key.strip_prefix(steward::SUSPECT_PREFIX) {
+        steward::learn_suspect(&mut shared.state(), fingerprint, entry, now);
+        return;
+    }
+    let subject = shared.dialect().subject(&entry.key);
+    if subject == Subject::Other {
+        return;
+    }
+    match shared.dialect().change(&subject, &entry.value) {
+        Ok(change) => take(shared, subject, change, now),
+        Err(error) => {
+            tracing::warn!(event = "HH1204", key = entry.key, %error, "stored value ignored");
+        }
+    }
+}
+
+fn take<D: Dialect, C: Clock>(shared: &Shared<D, C>, subject: Subject, change: Change, now: Now) {
+    let mut state = shared.state();
+    match (subject, change) {
+        (Subject::Catalogue, Change::Catalogue(catalogue)) => state.put_catalogue(*catalogue),
+        (Subject::Endpoint(_), Change::Endpoint(entry)) => {
+            let name = entry.name.clone();
+            let draining = entry.draining;
+            let (key, replaced) = state.fleet.put(entry, now);
+            drop(state);
+            if let Some(replaced) = replaced {
+                shared.connections().drop_endpoint(replaced);
+            }
+            tracing::debug!(event = "HH1205", %name, ?key, draining, "endpoint known");
+        }
+        (Subject::RollOut(service), Change::RollOut(order)) => {
+            put_order(&mut state, &service, order, now);
+        }
+        (Subject::RollOutStatus(service), Change::RollOutStatus(target, stage)) => {
+            if let Some(roll_out) = state.roll_outs.get_mut(&service)
+                && roll_out.order().target.as_str() == target
+                && stage.is_final()
+            {
+                roll_out.advance(stage);
+            }
+            state.told.insert(service, (target, stage));
+        }
+        (Subject::Evacuation(data_centre), Change::Evacuation) => {
+            tracing::info!(event = "HH1206", %data_centre, "data centre is evacuated");
+            state.fleet.set_evacuated(data_centre, true);
+        }
+        (subject, _) => {
+            tracing::error!(
+                event = "HH1207",
+                ?subject,
+                "stored value is about something else"
+            );
+        }
+    }
+}
+
+/// Follows a new order; the same order read again changes nothing.
+fn put_order(state: &mut State, service: &ServiceName, order: Order, now: Now) {
+    if let Some(known) = state.roll_outs.get(service)
+        && *known.order() == order
+    {
+        return;
+    }
+    tracing::info!(event = "HH1208", %service, target = %order.target, "roll-out ordered");
+    let mut roll_out = RollOut::new(order, now);
+    if let Some((target, stage)) = state.told.get(service)
+        && *target == roll_out.order().target.as_str()
+        && stage.is_final()
+    {
+        roll_out.advance(*stage);
+    }
+    state.roll_outs.insert(service.clone(), roll_out);
+    state.take_up_stage(service);
+}
+
+pub(super) fn delete<D: Dialect, C: Clock>(shared: &Shared<D, C>, key: &str, now: Now) {
+    if let Some(node) = key.strip_prefix(presence::PREFIX) {
+        shared.state().nodes.remove(node);
+        return;
+    }
+    match shared.dialect().subject(key) {
+        Subject::Endpoint(name) => {
+            let removed = shared.state().fleet.remove(&name);
+            if let Some(endpoint) = removed {
+                shared.connections().drop_endpoint(endpoint);
+            }
+            tracing::debug!(event = "HH1209", %name, mono_ms = now.mono_ms, "endpoint gone");
+        }
+        Subject::Evacuation(data_centre) => {
+            tracing::info!(event = "HH1213", %data_centre, "data centre takes work again");
+            shared.state().fleet.set_evacuated(data_centre, false);
+        }
+        Subject::RollOut(service) => {
+            let mut state = shared.state();
+            // A finished roll-out is kept: its old endpoints may still be listed.
+            let finished = state.roll_outs.get(&service).map(RollOut::stage);
+            if finished.is_some_and(|stage| stage != Stage::RolledBack && !stage.is_final()) {
+                state.roll_outs.remove(&service);
+            }
+        }
+        Subject::Catalogue | Subject::RollOutStatus(_) | Subject::Other => {}
+    }
+}
+
+/// Returns whether the key belongs to something that renews its place itself.
+pub(super) fn may_come_back<D: Dialect, C: Clock>(shared: &Shared<D, C>, key: &str) -> bool {
+    matches!(shared.dialect().subject(key), Subject::Endpoint(_))
+}
--- /dev/null
+++ b/crates/hemlockhitch_gateway/src/front/readiness.rs
@@ -0,0 +1,100 @@
+//! Tells the balancer whether the node takes connections.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use bytes::Bytes;
+use hemlockhitch_model::Clock;
+use http::{Response, StatusCode};
+use http_body_util::Empty;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::dialect::Dialect;
+use crate::state::Shared;
+
+/// Whether the node takes connections; clones share it.
+#[derive(Debug)]
+pub struct Readiness<D, C> {
+    shared: Shared<D, C>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl<D, C> Clone for Readiness<D, C> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: self.shared.clone(),
+            stopping: Arc::clone(&self.stopping),
+        }
+    }
+}
+
+impl<D: Dialect, C: Clock> Readiness<D, C> {
+    /// Creates the readiness of a node that is not stopping.
+    #[must_use]
+    pub fn new(shared: Shared<D, C>) -> Self {
+        Self {
+            shared,
+            stopping: Arc::default(),
+        }
+    }
+
+    /// Says that the node stops.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the node can serve requests with API keys.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let now = self.shared.now();
+        let state = self.shared.state();
+        let fresh = state.freshness.holds(self.shared.settings().fresh_ms, now);
+        !self.stopping.load(Ordering::Relaxed) && fresh && state.catalogue.is_some()
+    }
+}
+
+/// Answers 200 on `address` while the node is ready, and 503 otherwise.
+///
+/// # Errors
+///
+/// Fails when the address cannot be listened on.
+pub async fn serve_readiness<D: Dialect, C: Clock>(
+    address: SocketAddr,
+    readiness: Readiness<D, C>,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let readiness = readiness.clone();
+            let service = service_fn(move |_request| {
+                let ready = readiness.is_ready();
+                async move { Ok::<_, Infallible>(answer(ready)) }
+            });
+            tokio::spawn(async move {
+                let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                if let Err(error) = serving.await {
+                    tracing::debug!(event = "HH1243", %error, "balancer's connection broke");
+                }
+            });
+        }
+    });
+    Ok(address)
+}
+
+fn answer(ready: bool) -> Response<Empty<Bytes>> {
+    let mut response = Response::new(Empty::new());
+    if !ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
--- /dev/null
+++ b/crates/hemlockhitch_gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! The path of routed requests through a node.
+//!
+//! The front takes requests of any method and body. Each is admitted, sent to an
+//! endpoint that the decisions of `hemlockhitch_routing` choose, and answered whole
+//! or event by event. A [`Dialect`] translates the headers and stored values of the
+//! platform that the endpoints and operators speak; this package knows none of them.
+
+mod attempt;
+mod connection;
+mod dialect;
+mod events;
+mod feed;
+mod front;
+mod presence;
+mod settings;
+mod state;
+mod steward;
+
+pub use attempt::{AnswerBody, Gateway};
+pub use dialect::{AnswerTerms, Change, Dialect, SendTerms, Subject, Terms, UnreadableValue};
+pub use feed::follow;
+pub use front::{Front, Readiness, serve_readiness};
+pub use presence::announce;
+pub use settings::GatewaySettings;
+pub use state::{Shared, State};
+pub use steward::steer;
--- /dev/null
+++ b/crates/hemlockhitch_gateway/src/presence.rs
@@ -0,0 +1,60 @@
+//! Tells the other nodes, through the store, that this one may be at work.
+
+use std::time::Duration;
+
+use hemlockhitch_model::NodeName;
+use hemlockhitch_ports::key_value::{Expected, KeyValue, KeyValueError, LeaseId, Swap};
+use tokio::time::sleep;
+
+use crate::feed::Backoff;
+
+/// Where nodes stand in the store.
+pub(crate) const PREFIX: &str = "hemlockhitch/node/";
+
+/// How long a node counts after it was last heard of, in milliseconds: long, since
+/// common allowances must be divided over nodes that are cut off too.
+const LEASE_MS: u64 = 600_000;
+
+/// How often the lease is renewed: three times before it lapses.
+const RENEW: Duration = Duration::from_millis(LEASE_MS / 4);
+
+/// Keeps the node's key in the store for as long as the task runs.
+pub async fn announce(store: impl KeyValue, node: NodeName) {
+    let mut backoff = Backoff::new();
+    loop {
+        match enter(&store, &node).await {
+            Ok(lease) => {
+                backoff.reset();
+                tracing::info!(event = "HH1210", node = %node, "node entered the list of nodes");
+                renew(&store, lease).await;
+            }
+            Err(error) => {
+                tracing::debug!(event = "HH1211", %error, "node not entered in the list of nodes");
+            }
+        }
+        sleep(backoff.next()).await;
+    }
+}
+
+async fn enter(store: &impl KeyValue, node: &NodeName) -> Result<LeaseId, KeyValueError> {
+    let lease = store.lease_grant(LEASE_MS).await?;
+    let swap = Swap {
+        key: format!("{PREFIX}{node}"),
+        expected: Expected::Any,
+        value: Some(String::new()),
+        lease: Some(lease),
+    };
+    store.swap(swap).await?;
+    Ok(lease)
+}
+
+/// Renews the lease until the store no longer knows it.
+async fn renew(store: &impl KeyValue, lease: LeaseId) {
+    loop {
+        sleep(RENEW).await;
+        if let Err(error) = store.lease_renew(lease).await {
+            tracing::warn!(event = "HH1212", %error, "place in the list of nodes not renewed");
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -0,0 +1,169 @@
+//! What the tasks of a node share.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use hemlockhitch_model::{Clock, Now, ServiceName};
+use hemlockhitch_routing::allowance::Repeats;
+use hemlockhitch_routing::catalogue::{Catalogue, Service};
+use hemlockhitch_routing::fleet::Fleet;
+use hemlockhitch_routing::roll_out::{RollOut, Stage};
+use hemlockhitch_routing::size::Pressure;
+use hemlockhitch_routing::suspect::Suspects;
+use hemlockhitch_routing::{Freshness, Sessions};
+
+use crate::connection::Connections;
+use crate::dialect::Dialect;
+use crate::settings::GatewaySettings;
+use crate::steward::StageRecord;
+
+/// The part of a cold endpoint's rate that nodes use, so that requests which arrive
+/// closer together than they were sent stay within it.
+const COLD_USED_RATIO: f64 = 0.8;
+
+/// What the node knows and counts.
+#[derive(Debug)]
+pub struct State {
+    /// The configuration; `None` until it is known.
+    pub catalogue: Option<Arc<Catalogue>>,
+    /// The endpoints.
+    pub fleet: Fleet,
+    /// How recent the configuration is.
+    pub freshness: Freshness,
+    /// The nodes that may be at work, by name.
+    pub nodes: HashSet<String>,
+    /// Roll-outs by service.
+    pub roll_outs: HashMap<ServiceName, RollOut>,
+    /// The versions of recent sessions.
+    pub sessions: Sessions,
+    /// Requests that may crash endpoints.
+    pub suspects: Suspects,
+    /// Firsts and repeats by service.
+    pub repeats: HashMap<ServiceName, Repeats>,
+    /// How close first events come to their objective, by service.
+    pub pressure: HashMap<ServiceName, Pressure>,
+    /// Stages of roll-outs as the store holds them, with the key's version.
+    pub(crate) stages: HashMap<ServiceName, (StageRecord, u64)>,
+    /// What the operator was told of roll-outs: the version and its stage.
+    pub(crate) told: HashMap<ServiceName, (String, Stage)>,
+    /// Suspicions that other nodes have not been told of.
+    pub(crate) suspect_news: Vec<(u64, u32)>,
+    /// Requests in hand.
+    pub in_flight: usize,
+}
+
+impl State {
+    fn new(settings: &GatewaySettings) -> Self {
+        Self {
+            catalogue: None,
+            fleet: Fleet::default(),
+            freshness: Freshness::default(),
+            nodes: HashSet::new(),
+            roll_outs: HashMap::new(),
+            sessions: Sessions::new(settings.session_ms),
+            suspects: Suspects::default(),
+            repeats: HashMap::new(),
+            pressure: HashMap::new(),
+            stages: HashMap::new(),
+            told: HashMap::new(),
+            suspect_news: Vec::new(),
+            in_flight: 0,
+        }
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    pub fn put_catalogue(&mut self, catalogue: Catalogue) {
+        let version = catalogue.version();
+        if let Some(known) = &self.catalogue
+            && known.version() >= version
+        {
+            return;
+        }
+        tracing::info!(event = "HH1201", version, "configuration in force");
+        self.catalogue = Some(Arc::new(catalogue));
+    }
+
+    /// Returns the nodes that common allowances are divided over; at least one.
+    #[must_use]
+    pub fn node_count(&self) -> u32 {
+        u32::try_from(self.nodes.len()).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Returns how fast this node may ask one cold endpoint of a service, in
+    /// requests a second.
+    #[must_use]
+    pub fn cold_per_s(&self, service: &Service, settings: &GatewaySettings) -> f64 {
+        service.cold.map_or(f64::MAX, |cold| {
+            let all_per_s = cold.requests_per_s * settings.cold_factor + settings.cold_allowance;
+            all_per_s * COLD_USED_RATIO / f64::from(self.node_count())
+        })
+    }
+}
+
+/// The state, the connections and what they rest on; clones share them.
+#[derive(Debug)]
+pub struct Shared<D, C> {
+    parts: Arc<Parts<D, C>>,
+}
+
+#[derive(Debug)]
+struct Parts<D, C> {
+    state: Mutex<State>,
+    connections: Connections,
+    dialect: D,
+    clock: C,
+    settings: GatewaySettings,
+}
+
+impl<D, C> Clone for Shared<D, C> {
+    fn clone(&self) -> Self {
+        Self {
+            parts: Arc::clone(&self.parts),
+        }
+    }
+}
+
+impl<D: Dialect, C: Clock> Shared<D, C> {
+    /// Creates the state of a node that knows nothing yet.
+    #[must_use]
+    pub fn new(dialect: D, clock: C, settings: GatewaySettings) -> Self {
+        Self {
+            parts: Arc::new(Parts {
+                state: Mutex::new(State::new(&settings)),
+                connections: Connections::default(),
+                dialect,
+                clock,
+                settings,
+            }),
+        }
+    }
+
+    /// Locks the state; never held while a task waits.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        // A task that panicked leaves counters that are off by one at worst.
+        let state = self.parts.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the present time.
+    #[must_use]
+    pub fn now(&self) -> Now {
+        self.parts.clock.now()
+    }
+
+    /// Returns the platform's translation.
+    #[must_use]
+    pub fn dialect(&self) -> &D {
+        &self.parts.dialect
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub fn settings(&self) -> &GatewaySettings {
+        &self.parts.settings
+    }
+
+    pub(crate) fn connections(&self) -> &Connections {
+        &self.parts.connections
+    }
+}
--- /dev/null
+++ b/crates/hemlockhitch_gateway/src/steward/record.rs
@@ -0,0 +1,85 @@
+//! What nodes tell each other through the store.
+
+use hemlockhitch_model::{Now, ServiceName};
+use hemlockhitch_ports::key_value::Entry;
+use hemlockhitch_routing::roll_out::{Order, Stage};
+use serde::{Deserialize, Serialize};
+
+use crate::state::State;
+
+/// Where the stages of roll-outs stand, by service.
+pub(crate) const STAGE_PREFIX: &str = "hemlockhitch/stage/";
+
+/// Where suspected requests stand, by fingerprint.
+pub(crate) const SUSPECT_PREFIX: &str = "hemlockhitch/suspect/";
+
+/// The stage of a roll-out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct StageRecord {
+    target: String,
+    stage: Stage,
+}
+
+impl StageRecord {
+    pub(super) fn new(order: &Order, stage: Stage) -> Self {
+        Self {
+            target: order.target.as_str().to_owned(),
+            stage,
+        }
+    }
+
+    pub(super) fn to_value(&self) -> String {
+        // A struct of a string and a unit variant always has a JSON form.
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+impl State {
+    /// Takes in the stage of a roll-out as the store holds it.
+    pub(crate) fn put_stage(&mut self, service: &ServiceName, record: StageRecord, version: u64) {
+        if let Some((_, known)) = self.stages.get(service)
+            && *known >= version
+        {
+            return;
+        }
+        self.stages.insert(service.clone(), (record, version));
+        self.take_up_stage(service);
+    }
+
+    /// Moves a roll-out to the stage that the store holds for its order.
+    pub(crate) fn take_up_stage(&mut self, service: &ServiceName) {
+        let Some(roll_out) = self.roll_outs.get_mut(service) else {
+            return;
+        };
+        if let Some((record, _)) = self.stages.get(service)
+            && record.target == roll_out.order().target.as_str()
+        {
+            roll_out.advance(record.stage);
+        }
+    }
+}
+
+pub(crate) fn learn_stage(state: &mut State, service: &ServiceName, entry: &Entry) {
+    match serde_json::from_str(&entry.value) {
+        Ok(record) => state.put_stage(service, record, entry.version),
+        Err(error) => {
+            tracing::warn!(event = "HH1255", key = entry.key, %error, "stage of a roll-out cannot be read");
+        }
+    }
+}
+
+pub(crate) fn learn_suspect(state: &mut State, fingerprint: &str, entry: &Entry, now: Now) {
+    let fingerprint = u64::from_str_radix(fingerprint, 16);
+    match (fingerprint, entry.value.parse()) {
+        (Ok(fingerprint), Ok(crashes)) => state.suspects.learn(fingerprint, crashes, now),
+        _ => {
+            tracing::warn!(
+                event = "HH1256",
+                key = entry.key,
+                "suspicion cannot be read"
+            );
+        }
+    }
+}
--- a/crates/hemlockhitch_model/src/arena.rs
+++ b/crates/hemlockhitch_model/src/arena.rs
@@ -54,6 +54,10 @@
     /// Addresses a data centre.
     DataCentreKey
 );
+key!(
+    /// Addresses a route.
+    RouteKey
+);
 key!(
     /// Addresses a plain service.
     ServiceKey
--- a/crates/hemlockhitch_model/src/lib.rs
+++ b/crates/hemlockhitch_model/src/lib.rs
@@ -18,11 +18,13 @@
 mod time;
 
 pub use arena::{Arena, Key};
-pub use arena::{DataCentreKey, EndpointKey, ModelKey, OrganisationKey, ServiceKey, VersionKey};
+pub use arena::{
+    DataCentreKey, EndpointKey, ModelKey, OrganisationKey, RouteKey, ServiceKey, VersionKey,
+};
 pub use class::{Class, ParseClassError};
 pub use id::{ChangeId, ParseIdError, RequestId};
 pub use name::{
     DataCentreName, EndpointName, ModelName, NodeName, OrganisationName, RegionName, ServiceName,
     VersionName,
 };
-pub use time::{Clock, ManualClock, Now, SystemClock};
+pub use time::{BootClock, Clock, ManualClock, Now, SystemClock};
--- a/crates/hemlockhitch_model/src/time.rs
+++ b/crates/hemlockhitch_model/src/time.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -48,16 +49,55 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> Now {
-        let wall = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         Now {
             mono_ms: millis(self.start.elapsed().as_millis()),
-            unix_ms: millis(wall.as_millis()),
+            unix_ms: unix_ms(),
         }
     }
 }
 
+/// The clock of the machine whose monotonic time goes on while the machine is
+/// suspended.
+///
+/// A node that was suspended must not take its knowledge for fresh when it wakes.
+#[derive(Clone, Copy, Debug)]
+pub struct BootClock {
+    start_ms: u64,
+}
+
+impl BootClock {
+    /// Creates a clock whose monotonic time starts at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            start_ms: boot_ms(),
+        }
+    }
+}
+
+impl Default for BootClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for BootClock {
+    fn now(&self) -> Now {
+        Now {
+            mono_ms: boot_ms().saturating_sub(self.start_ms),
+            unix_ms: unix_ms(),
+        }
+    }
+}
+
+fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds_ms = u64::try_from(time.tv_sec)
+        .unwrap_or_default()
+        .saturating_mul(1_000);
+    seconds_ms + u64::try_from(time.tv_nsec).unwrap_or_default() / 1_000_000
+}
+
 /// A clock that a test moves by hand.
 #[derive(Clone, Debug, Default)]
 pub struct ManualClock {
@@ -89,6 +129,13 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let wall = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    millis(wall.as_millis())
+}
+
 fn millis(count: u128) -> u64 {
     u64::try_from(count).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/crates/hemlockhitch_routing/src/roll_out/mod.rs
@@ -0,0 +1,153 @@
+//! Roll-outs of a new version of a service, step by step.
+//!
+//! A small part of the sessions tries the new version first. It grows only after
+//! good answers; failures or slowness beyond those of the other versions take the
+//! version back at once.
+
+mod evidence;
+mod stage;
+
+pub use evidence::{Evidence, Observation};
+pub use stage::Stage;
+
+use hemlockhitch_model::{Now, VersionName};
+
+use crate::hash::mix;
+use crate::place::Wanted;
+
+/// Percent of the sessions in the first stage: below the part of all requests that
+/// a bad version may get.
+const TRIAL_PERCENT: u64 = 10;
+
+/// Percent of the sessions in the second stage.
+const WIDE_PERCENT: u64 = 35;
+
+/// Part of the time after which the second stage begins; sessions keep their
+/// version before.
+const WIDE_AFTER: f64 = 0.52;
+
+/// Part of the time after which all sessions move.
+const ALL_AFTER: f64 = 0.62;
+
+/// Part of the time after which the roll-out is completed once the other versions
+/// are idle.
+const COMPLETE_AFTER: f64 = 0.75;
+
+/// Part of the time after which it is completed at any rate.
+const COMPLETE_AT_LATEST: f64 = 0.95;
+
+/// Good answers that one node must have seen before the version gets more.
+const GOOD_LEAST: u32 = 3;
+
+/// Part of the time after which the version gets more without that: too few
+/// requests reach the service to show it.
+const UNPROVED_AFTER: f64 = 0.68;
+
+/// An operator's order to move a service to a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The version to move to.
+    pub target: VersionName,
+    /// The time from the order in which to do it, in milliseconds.
+    pub finish_ms: u64,
+}
+
+/// A roll-out as one node sees it.
+#[derive(Clone, Debug)]
+pub struct RollOut {
+    order: Order,
+    ordered_mono_ms: u64,
+    stage: Stage,
+    evidence: Evidence,
+}
+
+impl RollOut {
+    /// Starts to follow an order that was seen at `now`.
+    #[must_use]
+    pub fn new(order: Order, now: Now) -> Self {
+        Self {
+            order,
+            ordered_mono_ms: now.mono_ms,
+            stage: Stage::Trial,
+            evidence: Evidence::default(),
+        }
+    }
+
+    /// Returns the order.
+    #[must_use]
+    pub fn order(&self) -> &Order {
+        &self.order
+    }
+
+    /// Returns the stage.
+    #[must_use]
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Moves to a later stage; an earlier one is ignored, as it was read late.
+    pub fn advance(&mut self, stage: Stage) {
+        self.stage = self.stage.max(stage);
+    }
+
+    /// Returns what was seen of the versions.
+    pub fn evidence(&mut self) -> &mut Evidence {
+        &mut self.evidence
+    }
+
+    /// Returns which versions a request may go to; `served_by` is the version that
+    /// its session was on lately.
+    #[must_use]
+    pub fn wanted(&self, session: u64, served_by: Option<&VersionName>) -> Wanted<'_> {
+        let target = &self.order.target;
+        let percent = match self.stage {
+            Stage::All | Stage::Completed => return Wanted::Only(target),
+            Stage::RolledBack => return Wanted::Not(target),
+            Stage::Trial => TRIAL_PERCENT,
+            Stage::Wide => WIDE_PERCENT,
+        };
+        let moves = match served_by {
+            Some(version) => version == target,
+            None => mix(session, target_hash(target)) % 100 < percent,
+        };
+        if moves {
+            Wanted::Only(target)
+        } else {
+            Wanted::Not(target)
+        }
+    }
+
+    /// Returns whether the other versions may stand in when no endpoint of the
+    /// wanted one can be asked.
+    #[must_use]
+    pub fn may_fall_back(&self) -> bool {
+        matches!(self.stage, Stage::Wide | Stage::All) || self.stage == Stage::Trial
+    }
+
+    /// Decides whether the roll-out moves to another stage; `others_idle` says that
+    /// no request runs at endpoints of other versions.
+    #[must_use]
+    pub fn next_stage(&self, others_idle: bool, now: Now) -> Option<Stage> {
+        if self.stage.is_final() {
+            return None;
+        }
+        if self.evidence.is_bad() {
+            return Some(Stage::RolledBack);
+        }
+        #[allow(clippy::cast_precision_loss)]
+        let passed = now.mono_ms.saturating_sub(self.ordered_mono_ms) as f64
+            / self.order.finish_ms.max(1) as f64;
+        let proved = self.evidence.good() >= GOOD_LEAST || passed >= UNPROVED_AFTER;
+        match self.stage {
+            Stage::Trial if passed >= WIDE_AFTER && proved => Some(Stage::Wide),
+            Stage::Wide if passed >= ALL_AFTER && proved => Some(Stage::All),
+            Stage::All if passed >= COMPLETE_AFTER && others_idle => Some(Stage::Completed),
+            Stage::All if passed >= COMPLETE_AT_LATEST => Some(Stage::Completed),
+            _ => None,
+        }
+    }
+}
+
+fn target_hash(target: &VersionName) -> u64 {
+    crate::hash::hash_bytes(target.as_str())
+}
