Pin sessions across nodes while a roll-out is on trial

Cause: a session's requests reach different nodes. Ruled out: a smaller trial (the share of sessions that cross stays the same). Change: sessions are read from the caller's own header; each node writes its sessions under way once per order, and all nodes pin them; times are compared per token of work and only against answers of the same route and model.

--- a/crates/hemlockhitch/src/gateway/mod.rs
+++ b/crates/hemlockhitch/src/gateway/mod.rs
@@ -55,7 +55,7 @@
             .map_err(|error| NodeError::new(NodeErrorKind::Listen, error.to_string()))?;
         let background = vec![
             tokio::spawn(follow(shared.clone(), store.clone())),
-            tokio::spawn(announce(store.clone(), file.node.name.clone())),
+            tokio::spawn(announce(shared.clone(), store.clone())),
             tokio::spawn(steer(shared, store)),
         ];
         tracing::info!(event = "HH0920", node = %file.node.name, callers = %front.address(), "gateway started");
--- a/crates/hemlockhitch_gateway/src/attempt/job.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/job.rs
@@ -6,6 +6,7 @@
 use hemlockhitch_model::{Clock, EndpointKey, Now, ServiceName};
 use hemlockhitch_routing::catalogue::{Organisation, Route};
 use hemlockhitch_routing::judge::{Seen, Tries};
+use hemlockhitch_routing::{hash_bytes, mix};
 use http::request::Parts;
 use tokio::time::Instant;
 
@@ -52,18 +53,12 @@
         in_hand: InHand<D, C>,
     ) -> Self {
         let path = arrived.head.uri.path();
-        let session = match arrived.terms.parts.last() {
-            Some(part) => part.id,
-            None => hemlockhitch_routing::hash_bytes(&arrived.terms.request),
-        };
+        // A request outside any session is one of its own.
+        let session = arrived.terms.session.as_ref();
+        let session = hash_bytes(session.unwrap_or(&arrived.terms.request));
         let caller = arrived.terms.api_key.as_deref().unwrap_or_default();
-        let fingerprint = hemlockhitch_routing::mix(
-            hemlockhitch_routing::hash_bytes(path),
-            hemlockhitch_routing::mix(
-                hemlockhitch_routing::hash_bytes(caller),
-                hemlockhitch_routing::hash_bytes(&arrived.body),
-            ),
-        );
+        let caller_and_body = mix(hash_bytes(caller), hash_bytes(&arrived.body));
+        let fingerprint = mix(hash_bytes(path), caller_and_body);
         Self {
             terms: arrived.terms,
             head: arrived.head,
--- a/crates/hemlockhitch_gateway/src/attempt/place.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/place.rs
@@ -20,6 +20,7 @@
     pub(super) name: EndpointName,
     pub(super) address: SocketAddr,
     version: VersionName,
+    model_hash: u64,
     unread_tokens: u64,
     taken_mono_ms: u64,
 }
@@ -69,6 +70,7 @@
             name: known.entry.name.clone(),
             address: known.entry.address,
             version,
+            model_hash,
             unread_tokens,
             taken_mono_ms: now.mono_ms,
         })
@@ -98,12 +100,13 @@
         }
         if let Some(roll_out) = state.roll_outs.get_mut(&job.service) {
             let seen = Observation {
-                kind_hash: hash_bytes(&job.route.name),
+                kind_hash: mix(hash_bytes(&job.route.name), self.model_hash),
+                prompt_tokens: job.terms.prompt_tokens,
                 of_target: roll_out.order().target == self.version,
                 failed: sign == Sign::Bad,
                 took_ms: now.mono_ms.saturating_sub(self.taken_mono_ms),
             };
-            roll_out.evidence().note(seen);
+            roll_out.evidence().note(seen, now);
         }
     }
 
@@ -135,7 +138,7 @@
         return choose(Wanted::Any);
     };
     let served_by = state.sessions.version(job.session, now);
-    let wanted = roll_out.wanted(job.session, served_by);
+    let wanted = roll_out.wanted(job.session, served_by, now);
     choose(wanted).or_else(|| fall_back(roll_out, wanted).and_then(&choose))
 }
 
--- a/crates/hemlockhitch_gateway/src/dialect/terms.rs
+++ b/crates/hemlockhitch_gateway/src/dialect/terms.rs
@@ -11,6 +11,8 @@
     pub request: String,
     /// How long the caller waits, in milliseconds.
     pub time_ms: Option<u64>,
+    /// The caller's name for the session that the request belongs to.
+    pub session: Option<String>,
     /// The caller's API key.
     pub api_key: Option<String>,
     /// The model that the caller names; `None` if it leaves the choice open.
--- a/crates/hemlockhitch_gateway/src/feed/apply.rs
+++ b/crates/hemlockhitch_gateway/src/feed/apply.rs
@@ -9,7 +9,13 @@
 use crate::state::{Shared, State};
 use crate::steward;
 
-pub(super) fn write<D: Dialect, C: Clock>(shared: &Shared<D, C>, entry: &Entry, now: Now) {
+/// Takes in a stored key; `is_live` says that the node saw it being written.
+pub(super) fn write<D: Dialect, C: Clock>(
+    shared: &Shared<D, C>,
+    entry: &Entry,
+    is_live: bool,
+    now: Now,
+) {
     if let Some(node) = entry.key.strip_prefix(presence::PREFIX) {
         shared.state().nodes.insert(node.to_owned());
         return;
@@ -23,19 +29,29 @@
         steward::learn_suspect(&mut shared.state(), fingerprint, entry, now);
         return;
     }
+    if let Some(service_and_node) = entry.key.strip_prefix(steward::PINS_PREFIX) {
+        steward::learn_pins(&mut shared.state(), service_and_node, entry);
+        return;
+    }
     let subject = shared.dialect().subject(&entry.key);
     if subject == Subject::Other {
         return;
     }
     match shared.dialect().change(&subject, &entry.value) {
-        Ok(change) => take(shared, subject, change, now),
+        Ok(change) => take(shared, subject, change, is_live, now),
         Err(error) => {
             tracing::warn!(event = "HH1204", key = entry.key, %error, "stored value ignored");
         }
     }
 }
 
-fn take<D: Dialect, C: Clock>(shared: &Shared<D, C>, subject: Subject, change: Change, now: Now) {
+fn take<D: Dialect, C: Clock>(
+    shared: &Shared<D, C>,
+    subject: Subject,
+    change: Change,
+    is_live: bool,
+    now: Now,
+) {
     let mut state = shared.state();
     match (subject, change) {
         (Subject::Catalogue, Change::Catalogue(catalogue)) => state.put_catalogue(*catalogue),
@@ -50,7 +66,9 @@
             tracing::debug!(event = "HH1205", %name, ?key, draining, "endpoint known");
         }
         (Subject::RollOut(service), Change::RollOut(order)) => {
-            put_order(&mut state, &service, order, now);
+            if put_order(&mut state, &service, order, now) && is_live {
+                state.pins_due.push(service);
+            }
         }
         (Subject::RollOutStatus(service), Change::RollOutStatus(target, stage)) => {
             if let Some(roll_out) = state.roll_outs.get_mut(&service)
@@ -75,12 +93,12 @@
     }
 }
 
-/// Follows a new order; the same order read again changes nothing.
-fn put_order(state: &mut State, service: &ServiceName, order: Order, now: Now) {
+/// Follows an order; returns whether it is a new one.
+fn put_order(state: &mut State, service: &ServiceName, order: Order, now: Now) -> bool {
     if let Some(known) = state.roll_outs.get(service)
         && *known.order() == order
     {
-        return;
+        return false;
     }
     tracing::info!(event = "HH1208", %service, target = %order.target, "roll-out ordered");
     let mut roll_out = RollOut::new(order, now);
@@ -92,6 +110,7 @@
     }
     state.roll_outs.insert(service.clone(), roll_out);
     state.take_up_stage(service);
+    true
 }
 
 pub(super) fn delete<D: Dialect, C: Clock>(shared: &Shared<D, C>, key: &str, now: Now) {
--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -8,7 +8,7 @@
 use std::collections::HashSet;
 
 use hemlockhitch_model::{Clock, Now};
-use hemlockhitch_ports::key_value::{KeyValue, WatchBatch};
+use hemlockhitch_ports::key_value::{Entry, KeyValue, WatchBatch};
 use tokio::time::sleep;
 
 use crate::dialect::Dialect;
@@ -37,6 +37,9 @@
     }
 }
 
+/// Where nodes keep their own notes in the store.
+const NOTES_PREFIX: &str = "hemlockhitch/";
+
 /// What the follower knows of the store.
 #[derive(Debug, Default)]
 struct Follower {
@@ -77,9 +80,15 @@
             self.known.remove(&key);
             self.delete(shared, key, now);
         }
-        for entry in batch.written {
+        // Nodes' own notes are about orders, which must be known first.
+        let is_live = self.revision != 0;
+        let (notes, platform): (Vec<Entry>, Vec<Entry>) = batch
+            .written
+            .into_iter()
+            .partition(|entry| entry.key.starts_with(NOTES_PREFIX));
+        for entry in platform.into_iter().chain(notes) {
             self.vanished.retain(|(key, _)| *key != entry.key);
-            apply::write(shared, &entry, now);
+            apply::write(shared, &entry, is_live, now);
             self.known.insert(entry.key);
         }
         self.revision = self.revision.max(batch.revision);
--- a/crates/hemlockhitch_gateway/src/presence.rs
+++ b/crates/hemlockhitch_gateway/src/presence.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use hemlockhitch_model::NodeName;
+use hemlockhitch_model::{Clock, NodeName};
 use hemlockhitch_ports::key_value::{Expected, KeyValue, KeyValueError, LeaseId, Swap};
 use tokio::time::sleep;
 
+use crate::dialect::Dialect;
 use crate::feed::Backoff;
+use crate::state::Shared;
 
 /// Where nodes stand in the store.
 pub(crate) const PREFIX: &str = "hemlockhitch/node/";
@@ -19,14 +21,17 @@
 const RENEW: Duration = Duration::from_millis(LEASE_MS / 4);
 
 /// Keeps the node's key in the store for as long as the task runs.
-pub async fn announce(store: impl KeyValue, node: NodeName) {
+pub async fn announce<D: Dialect, C: Clock>(shared: Shared<D, C>, store: impl KeyValue) {
+    let node = shared.settings().node.clone();
     let mut backoff = Backoff::new();
     loop {
         match enter(&store, &node).await {
             Ok(lease) => {
                 backoff.reset();
                 tracing::info!(event = "HH1210", node = %node, "node entered the list of nodes");
+                shared.state().lease = Some(lease);
                 renew(&store, lease).await;
+                shared.state().lease = None;
             }
             Err(error) => {
                 tracing::debug!(event = "HH1211", %error, "node not entered in the list of nodes");
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use hemlockhitch_model::{Clock, Now, ServiceName};
+use hemlockhitch_ports::key_value::LeaseId;
 use hemlockhitch_routing::allowance::Repeats;
 use hemlockhitch_routing::catalogue::{Catalogue, Service};
 use hemlockhitch_routing::fleet::Fleet;
@@ -46,6 +47,11 @@
     pub(crate) stages: HashMap<ServiceName, (StageRecord, u64)>,
     /// What the operator was told of roll-outs: the version and its stage.
     pub(crate) told: HashMap<ServiceName, (String, Stage)>,
+    /// Services whose roll-out was ordered a moment ago, of which this node's sessions
+    /// are not shared yet.
+    pub(crate) pins_due: Vec<ServiceName>,
+    /// The lease that the node's own keys hang on.
+    pub(crate) lease: Option<LeaseId>,
     /// Suspicions that other nodes have not been told of.
     pub(crate) suspect_news: Vec<(u64, u32)>,
     /// Requests in hand.
@@ -66,6 +72,8 @@
             pressure: HashMap::new(),
             stages: HashMap::new(),
             told: HashMap::new(),
+            pins_due: Vec::new(),
+            lease: None,
             suspect_news: Vec::new(),
             in_flight: 0,
         }
--- a/crates/hemlockhitch_gateway/src/steward/mod.rs
+++ b/crates/hemlockhitch_gateway/src/steward/mod.rs
@@ -3,9 +3,11 @@
 //! Any node may make the next step; a compare-and-swap lets one of them do it. Every
 //! node holds what the store says, so that a step survives the node that made it.
 
+mod pins;
 mod record;
 mod reports;
 
+pub(crate) use pins::{PINS_PREFIX, learn_pins};
 pub(crate) use record::{STAGE_PREFIX, SUSPECT_PREFIX, StageRecord, learn_stage, learn_suspect};
 
 use std::collections::HashMap;
@@ -29,9 +31,6 @@
 /// Length of a turn, in milliseconds: the store's answer and the watch of it.
 const TURN_MS: u64 = 120;
 
-/// How long a suspicion is kept in the store, in milliseconds.
-const SUSPICION_MS: u64 = 60_000;
-
 /// Acts on roll-outs and suspicions until the task is ended.
 pub async fn steer<D: Dialect, C: Clock>(shared: Shared<D, C>, store: impl KeyValue) {
     let mut steward = Steward {
@@ -42,6 +41,9 @@
     };
     loop {
         sleep(INTERVAL).await;
+        if let Err(error) = pins::share(&steward.shared, &steward.store).await {
+            tracing::warn!(event = "HH1258", %error, "sessions under way not shared");
+        }
         steward.share_suspicions().await;
         for service in steward.services() {
             if let Err(error) = steward.step(&service).await {
@@ -180,12 +182,12 @@
     }
 
     async fn share_suspicion(&self, fingerprint: u64, crashes: u32) -> Result<(), KeyValueError> {
-        let lease = self.store.lease_grant(SUSPICION_MS).await?;
+        let lease = self.shared.state().lease;
         let swap = Swap {
             key: format!("{SUSPECT_PREFIX}{fingerprint:016x}"),
             expected: Expected::Any,
             value: Some(crashes.to_string()),
-            lease: Some(lease),
+            lease,
         };
         self.store.swap(swap).await?;
         tracing::warn!(
--- a/crates/hemlockhitch_routing/src/roll_out/evidence.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/evidence.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use hemlockhitch_model::Now;
+
 /// By how much a bad version fails more often than the others.
 const WORSE_BY: f64 = 0.25;
 
@@ -15,11 +17,19 @@
 /// one, as a logarithm: 300 times.
 const BAD_LOG: f64 = 5.7;
 
-/// How many times as slow as the others an answer must be to count as bad.
-const SLOW_FACTOR: f64 = 3.0;
+/// How many times as slow as the others an answer must be to count as bad, while
+/// the others answer too.
+const SLOW_FACTOR: f64 = 4.0;
+
+/// The same when the others have not answered lately: the load may have changed
+/// since.
+const SLOW_ALONE_FACTOR: f64 = 6.0;
+
+/// For how long an answer of the others is compared with, in milliseconds.
+const COMPARED_MS: u64 = 2_000;
 
-/// Added to that, in milliseconds, for answers that are short in any case.
-const SLOW_ADDED_MS: f64 = 150.0;
+/// Work of an answer beside its prompt, as prompt tokens that take as long.
+const FIXED_TOKENS: f64 = 3_000.0;
 
 /// Weight of the newest answer in the mean time of the others.
 const NEWEST_WEIGHT: f64 = 0.1;
@@ -27,8 +37,10 @@
 /// One answer, or the lack of one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Observation {
-    /// A hash of the kind of request, of which times are compared.
+    /// A hash of the kind of request and of its model; times are compared within it.
     pub kind_hash: u64,
+    /// The prompt's length in tokens.
+    pub prompt_tokens: u64,
     /// Whether the version that is rolled out gave it.
     pub of_target: bool,
     /// Whether it failed.
@@ -37,12 +49,27 @@
     pub took_ms: u64,
 }
 
+impl Observation {
+    fn ms_per_token(self) -> f64 {
+        #[allow(clippy::cast_precision_loss)]
+        let (took_ms, prompt_tokens) = (self.took_ms as f64, self.prompt_tokens as f64);
+        took_ms / (FIXED_TOKENS + prompt_tokens)
+    }
+}
+
+/// The usual time of the others' answers for a token of work, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    ms_per_token: f64,
+    last_mono_ms: u64,
+}
+
 /// What a node has seen of a new version and of the others.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
     others_answers: f64,
     others_failed: f64,
-    usual_ms: HashMap<u64, f64>,
+    usual_pace: HashMap<u64, Pace>,
     good: u32,
     bad: u32,
     log_ratio: f64,
@@ -50,25 +77,34 @@
 
 impl Evidence {
     /// Takes in an answer.
-    pub fn note(&mut self, seen: Observation) {
-        #[allow(clippy::cast_precision_loss)]
-        let took_ms = seen.took_ms as f64;
-        if !seen.of_target {
-            self.others_answers += 1.0;
-            if seen.failed {
-                self.others_failed += 1.0;
-                return;
-            }
-            let usual_ms = self.usual_ms.entry(seen.kind_hash).or_insert(took_ms);
-            *usual_ms += (took_ms - *usual_ms) * NEWEST_WEIGHT;
+    pub fn note(&mut self, seen: Observation, now: Now) {
+        if seen.of_target {
+            self.note_target(seen, now);
+        } else {
+            self.note_others(seen, now);
+        }
+    }
+
+    fn note_others(&mut self, seen: Observation, now: Now) {
+        self.others_answers += 1.0;
+        if seen.failed {
+            self.others_failed += 1.0;
             return;
         }
-        let usual_ms = self.usual_ms.get(&seen.kind_hash);
-        let slow = usual_ms.is_some_and(|usual| took_ms > SLOW_FACTOR * usual + SLOW_ADDED_MS);
+        let ms_per_token = seen.ms_per_token();
+        let usual = self.usual_pace.entry(seen.kind_hash).or_insert(Pace {
+            ms_per_token,
+            last_mono_ms: now.mono_ms,
+        });
+        usual.ms_per_token += (ms_per_token - usual.ms_per_token) * NEWEST_WEIGHT;
+        usual.last_mono_ms = now.mono_ms;
+    }
+
+    fn note_target(&mut self, seen: Observation, now: Now) {
         let usual = (self.others_failed + PRIOR_FAILED) / (self.others_answers + PRIOR_ANSWERS);
         let usual = usual.clamp(0.01, 0.7);
         let worse = usual + WORSE_BY;
-        if seen.failed || slow {
+        if seen.failed || self.is_slow(seen, now) {
             self.bad += 1;
             self.log_ratio += (worse / usual).ln();
         } else {
@@ -78,6 +114,19 @@
         self.log_ratio = self.log_ratio.max(0.0);
     }
 
+    fn is_slow(&self, seen: Observation, now: Now) -> bool {
+        let Some(usual) = self.usual_pace.get(&seen.kind_hash) else {
+            return false;
+        };
+        let compared = now.mono_ms.saturating_sub(usual.last_mono_ms) <= COMPARED_MS;
+        let factor = if compared {
+            SLOW_FACTOR
+        } else {
+            SLOW_ALONE_FACTOR
+        };
+        seen.ms_per_token() > factor * usual.ms_per_token
+    }
+
     /// Returns how many good answers the new version gave.
     #[must_use]
     pub fn good(&self) -> u32 {
--- a/crates/hemlockhitch_routing/src/roll_out/mod.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/mod.rs
@@ -10,15 +10,21 @@
 pub use evidence::{Evidence, Observation};
 pub use stage::Stage;
 
+use std::collections::HashSet;
+
 use hemlockhitch_model::{Now, VersionName};
 
-use crate::hash::mix;
+use crate::hash::{hash_bytes, mix};
 use crate::place::Wanted;
 
 /// Percent of the sessions in the first stage: below the part of all requests that
 /// a bad version may get.
 const TRIAL_PERCENT: u64 = 10;
 
+/// How long a trial waits for the other nodes to tell which sessions are under way,
+/// in milliseconds: several times a write to the store and the watch of it.
+const PIN_WAIT_MS: u64 = 400;
+
 /// Percent of the sessions in the second stage.
 const WIDE_PERCENT: u64 = 35;
 
@@ -59,6 +65,8 @@
     ordered_mono_ms: u64,
     stage: Stage,
     evidence: Evidence,
+    /// Sessions that were under way at the order and keep their version.
+    pinned: HashSet<u64>,
 }
 
 impl RollOut {
@@ -70,6 +78,7 @@
             ordered_mono_ms: now.mono_ms,
             stage: Stage::Trial,
             evidence: Evidence::default(),
+            pinned: HashSet::new(),
         }
     }
 
@@ -95,20 +104,34 @@
         &mut self.evidence
     }
 
+    /// Returns whether a session tries the new version unless it is under way.
+    #[must_use]
+    pub fn is_on_trial(&self, session: u64) -> bool {
+        self.place_of(session) < TRIAL_PERCENT
+    }
+
+    /// Keeps sessions on their version until the trial is over.
+    pub fn pin(&mut self, sessions: impl IntoIterator<Item = u64>) {
+        self.pinned.extend(sessions);
+    }
+
     /// Returns which versions a request may go to; `served_by` is the version that
     /// its session was on lately.
     #[must_use]
-    pub fn wanted(&self, session: u64, served_by: Option<&VersionName>) -> Wanted<'_> {
+    pub fn wanted(&self, session: u64, served_by: Option<&VersionName>, now: Now) -> Wanted<'_> {
         let target = &self.order.target;
         let percent = match self.stage {
             Stage::All | Stage::Completed => return Wanted::Only(target),
             Stage::RolledBack => return Wanted::Not(target),
+            Stage::Trial if now.mono_ms < self.ordered_mono_ms + PIN_WAIT_MS => 0,
             Stage::Trial => TRIAL_PERCENT,
             Stage::Wide => WIDE_PERCENT,
         };
+        let in_trial = self.stage == Stage::Trial;
         let moves = match served_by {
-            Some(version) => version == target,
-            None => mix(session, target_hash(target)) % 100 < percent,
+            Some(version) if in_trial || version == target => version == target,
+            _ if in_trial && self.pinned.contains(&session) => false,
+            _ => self.place_of(session) < percent,
         };
         if moves {
             Wanted::Only(target)
@@ -117,11 +140,9 @@
         }
     }
 
-    /// Returns whether the other versions may stand in when no endpoint of the
-    /// wanted one can be asked.
-    #[must_use]
-    pub fn may_fall_back(&self) -> bool {
-        matches!(self.stage, Stage::Wide | Stage::All) || self.stage == Stage::Trial
+    /// Returns the place of a session among a hundred, the same on every node.
+    fn place_of(&self, session: u64) -> u64 {
+        mix(session, hash_bytes(self.order.target.as_str())) % 100
     }
 
     /// Decides whether the roll-out moves to another stage; `others_idle` says that
@@ -147,7 +168,3 @@
         }
     }
 }
-
-fn target_hash(target: &VersionName) -> u64 {
-    crate::hash::hash_bytes(target.as_str())
-}
--- a/crates/hemlockhitch_routing/src/sessions.rs
+++ b/crates/hemlockhitch_routing/src/sessions.rs
@@ -56,4 +56,14 @@
         let age_ms = now.mono_ms.saturating_sub(served.last_mono_ms);
         (age_ms <= self.keep_ms).then_some(&served.version)
     }
+
+    /// Returns the sessions that were served within the time kept.
+    pub fn recent(&self, now: Now) -> impl Iterator<Item = u64> {
+        let is_recent =
+            move |served: &Served| now.mono_ms.saturating_sub(served.last_mono_ms) <= self.keep_ms;
+        let recent = self.served.iter();
+        recent
+            .filter(move |(_, served)| is_recent(served))
+            .map(|(session, _)| *session)
+    }
 }
