Use the whole bound on API keys, and share a cold endpoint's rate among few nodes

Ruled out: a shorter watch (each call has a price). Change: the configuration may be 4.85 s old, counted from the sending of the call that confirmed it; below two requests a second a node's part of a cold endpoint goes to a few nodes found by hash; one node at a time asks whether old endpoints are idle.

--- a/crates/hemlockhitch/src/gateway/derived.rs
+++ b/crates/hemlockhitch/src/gateway/derived.rs
@@ -8,11 +8,11 @@
 
 /// Kept free before the bound on API keys that were taken away, in milliseconds: for
 /// the way to an endpoint and a late wake-up.
-const REVOKE_MARGIN_MS: u64 = 600;
+const REVOKE_MARGIN_MS: u64 = 150;
 
 /// How long a watch of the store waits, in milliseconds: each answer proves that the
 /// configuration is recent, and two must fit into the bound on API keys.
-const WATCH_MS: u64 = 1_900;
+const WATCH_MS: u64 = 1_800;
 
 /// How long an endpoint that vanished during an outage of the store may take to come
 /// back, in milliseconds: the platform states two seconds.
--- a/crates/hemlockhitch_gateway/src/attempt/place.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/place.rs
@@ -33,7 +33,7 @@
         let mut state = shared.state();
         let state = &mut *state;
         let service = state.catalogue.as_ref()?.find_service(&job.service)?;
-        let cold_per_s = state.cold_per_s(service, settings);
+        let cold = state.cold_rate(service, settings);
         let model = job.model_of(log.size).or(job.terms.model.as_deref());
         let model_hash = model.map_or(0, hash_bytes);
         let prompt = (job.terms.prompt_tokens > 0).then_some(Prompt {
@@ -47,7 +47,7 @@
             home: &settings.data_centre,
             tried: &log.tried,
             prompt,
-            cold_per_s,
+            cold,
             draw: mix(hash_bytes(&job.terms.request), log.tried.len() as u64),
         };
         let choose = |wanted: Wanted<'_>| choose_endpoint(&state.fleet, &demand, wanted, now);
--- a/crates/hemlockhitch_gateway/src/feed/apply.rs
+++ b/crates/hemlockhitch_gateway/src/feed/apply.rs
@@ -17,7 +17,7 @@
     now: Now,
 ) {
     if let Some(node) = entry.key.strip_prefix(presence::PREFIX) {
-        shared.state().nodes.insert(node.to_owned());
+        shared.state().set_node(node, true);
         return;
     }
     if let Some(service) = entry.key.strip_prefix(steward::STAGE_PREFIX) {
@@ -115,7 +115,7 @@
 
 pub(super) fn delete<D: Dialect, C: Clock>(shared: &Shared<D, C>, key: &str, now: Now) {
     if let Some(node) = key.strip_prefix(presence::PREFIX) {
-        shared.state().nodes.remove(node);
+        shared.state().set_node(node, false);
         return;
     }
     match shared.dialect().subject(key) {
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -5,23 +5,19 @@
 
 use hemlockhitch_model::{Clock, Now, ServiceName};
 use hemlockhitch_ports::key_value::LeaseId;
-use hemlockhitch_routing::allowance::Repeats;
+use hemlockhitch_routing::allowance::{ColdRate, Repeats};
 use hemlockhitch_routing::catalogue::{Catalogue, Service};
 use hemlockhitch_routing::fleet::Fleet;
 use hemlockhitch_routing::roll_out::{RollOut, Stage};
 use hemlockhitch_routing::size::Pressure;
 use hemlockhitch_routing::suspect::Suspects;
-use hemlockhitch_routing::{Freshness, Sessions};
+use hemlockhitch_routing::{Freshness, Sessions, hash_bytes};
 
 use crate::connection::Connections;
 use crate::dialect::Dialect;
 use crate::settings::GatewaySettings;
 use crate::steward::StageRecord;
 
-/// The part of a cold endpoint's rate that nodes use, so that requests which arrive
-/// closer together than they were sent stay within it.
-const COLD_USED_RATIO: f64 = 0.8;
-
 /// What the node knows and counts.
 #[derive(Debug)]
 pub struct State {
@@ -33,6 +29,7 @@
     pub freshness: Freshness,
     /// The nodes that may be at work, by name.
     pub nodes: HashSet<String>,
+    node_hashes: Vec<u64>,
     /// Roll-outs by service.
     pub roll_outs: HashMap<ServiceName, RollOut>,
     /// The versions of recent sessions.
@@ -65,6 +62,7 @@
             fleet: Fleet::default(),
             freshness: Freshness::default(),
             nodes: HashSet::new(),
+            node_hashes: Vec::new(),
             roll_outs: HashMap::new(),
             sessions: Sessions::new(settings.session_ms),
             suspects: Suspects::default(),
@@ -97,13 +95,25 @@
         u32::try_from(self.nodes.len()).unwrap_or(u32::MAX).max(1)
     }
 
-    /// Returns how fast this node may ask one cold endpoint of a service, in
-    /// requests a second.
+    /// Takes in that a node may be at work, or is gone.
+    pub(crate) fn set_node(&mut self, node: &str, at_work: bool) {
+        if at_work {
+            self.nodes.insert(node.to_owned());
+        } else {
+            self.nodes.remove(node);
+        }
+        self.node_hashes = self.nodes.iter().map(hash_bytes).collect();
+    }
+
+    /// Returns how fast all nodes may ask one cold endpoint of a service; `None` if
+    /// they need not be spared.
     #[must_use]
-    pub fn cold_per_s(&self, service: &Service, settings: &GatewaySettings) -> f64 {
-        service.cold.map_or(f64::MAX, |cold| {
-            let all_per_s = cold.requests_per_s * settings.cold_factor + settings.cold_allowance;
-            all_per_s * COLD_USED_RATIO / f64::from(self.node_count())
+    pub fn cold_rate(&self, service: &Service, settings: &GatewaySettings) -> Option<ColdRate<'_>> {
+        let cold = service.cold?;
+        Some(ColdRate {
+            all_per_s: cold.requests_per_s * settings.cold_factor + settings.cold_allowance,
+            own_hash: hash_bytes(settings.node.as_str()),
+            node_hashes: &self.node_hashes,
         })
     }
 }
--- a/crates/hemlockhitch_gateway/src/steward/mod.rs
+++ b/crates/hemlockhitch_gateway/src/steward/mod.rs
@@ -25,8 +25,12 @@
 /// a bad version must be taken back.
 const INTERVAL: Duration = Duration::from_millis(200);
 
+/// How often one node asks the endpoints that a roll-out leaves whether they are
+/// idle, in milliseconds: each question has a price.
+const ASK_INTERVAL_MS: u64 = 1_000;
+
 /// Turns among which nodes are spread, so that one of them makes a step alone.
-const TURNS: u64 = 6;
+const TURNS: u64 = 16;
 
 /// Length of a turn, in milliseconds: the store's answer and the watch of it.
 const TURN_MS: u64 = 120;
@@ -38,6 +42,7 @@
         shared,
         store,
         due_mono_ms: HashMap::new(),
+        asked_mono_ms: HashMap::new(),
     };
     loop {
         sleep(INTERVAL).await;
@@ -59,6 +64,8 @@
     turn_ms: u64,
     /// From when this node may write a state that nobody has written yet.
     due_mono_ms: HashMap<(ServiceName, Stage), u64>,
+    /// When endpoints were last asked whether they are idle.
+    asked_mono_ms: HashMap<ServiceName, u64>,
 }
 
 impl<D: Dialect, C: Clock, S: KeyValue> Steward<D, C, S> {
@@ -67,26 +74,30 @@
     }
 
     async fn step(&mut self, service: &ServiceName) -> Result<(), KeyValueError> {
-        if let Some(stage) = self.next_stage(service).await
+        if let Some(stage) = self.next_stage(service, true)
             && (stage == Stage::RolledBack || self.is_due(service, stage))
+            && (self.next_stage(service, false).is_some() || self.others_idle(service).await)
         {
             self.write_stage(service, stage).await?;
         }
         self.write_status(service).await
     }
 
-    async fn next_stage(&self, service: &ServiceName) -> Option<Stage> {
-        let next = |others_idle| {
-            let state = self.shared.state();
-            let roll_out = state.roll_outs.get(service)?;
-            roll_out.next_stage(others_idle, self.shared.now())
-        };
-        let next_if_idle = next(true)?;
-        if next_if_idle == Stage::Completed && next(false).is_none() {
-            let idle = reports::others_idle(&self.shared, service).await;
-            return idle.then_some(next_if_idle);
+    fn next_stage(&self, service: &ServiceName, others_idle: bool) -> Option<Stage> {
+        let state = self.shared.state();
+        let roll_out = state.roll_outs.get(service)?;
+        roll_out.next_stage(others_idle, self.shared.now())
+    }
+
+    /// Asks the endpoints that a roll-out leaves, now and then.
+    async fn others_idle(&mut self, service: &ServiceName) -> bool {
+        let now_mono_ms = self.shared.now().mono_ms;
+        let asked_mono_ms = self.asked_mono_ms.get(service);
+        if asked_mono_ms.is_some_and(|asked| now_mono_ms < asked + ASK_INTERVAL_MS) {
+            return false;
         }
-        Some(next_if_idle)
+        self.asked_mono_ms.insert(service.clone(), now_mono_ms);
+        reports::others_idle(&self.shared, service).await
     }
 
     /// Returns whether this node's turn to write has come; nodes with earlier turns
--- a/crates/hemlockhitch_routing/src/place/mod.rs
+++ b/crates/hemlockhitch_routing/src/place/mod.rs
@@ -8,7 +8,9 @@
 
 use hemlockhitch_model::{DataCentreName, EndpointKey, Now, ServiceName, VersionName};
 
+use crate::allowance::ColdRate;
 use crate::fleet::{Endpoint, Fleet};
+use crate::hash::hash_bytes;
 
 /// A part of a prompt that requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,8 +66,8 @@
     pub tried: &'a [EndpointKey],
     /// The prompt, if a model reads one.
     pub prompt: Option<Prompt<'a>>,
-    /// How fast this node may ask one cold endpoint, in requests a second.
-    pub cold_per_s: f64,
+    /// How fast cold endpoints may be asked; `None` if they need not be spared.
+    pub cold: Option<ColdRate<'a>>,
     /// An evenly drawn number that decides between nearly equal endpoints.
     pub draw: u64,
 }
@@ -82,9 +84,7 @@
     let allowed: Vec<(EndpointKey, &Endpoint)> = fleet
         .usable(demand.service)
         .filter(|(_, endpoint)| wanted.allows(&endpoint.entry.version))
-        .filter(|(_, endpoint)| {
-            !endpoint.is_cold(now) || endpoint.cold_pace.allows(demand.cold_per_s, now)
-        })
+        .filter(|(_, endpoint)| !endpoint.is_cold(now) || allows_cold(demand, endpoint, now))
         .collect();
     let untried = |key: &EndpointKey| !demand.tried.contains(key);
     let sound = |endpoint: &Endpoint| {
@@ -107,6 +107,13 @@
         .or_else(|| among(Least::Any))
 }
 
+fn allows_cold(demand: &Demand<'_>, endpoint: &Endpoint, now: Now) -> bool {
+    demand.cold.is_none_or(|cold| {
+        let part_per_s = cold.part_per_s(hash_bytes(endpoint.entry.name.as_str()));
+        endpoint.cold_pace.allows(part_per_s, now)
+    })
+}
+
 /// The least that is asked of an endpoint.
 #[derive(Clone, Copy, Debug)]
 enum Least {
