--- a/crates/hemlockhitch/src/log.rs
+++ b/crates/hemlockhitch/src/log.rs
@@ -1,17 +1,21 @@
 //! The log of a process.
 
+use std::io::IsTerminal;
+
 use hemlockhitch_config::settings::{LogFormat, LogSettings};
 use tracing_subscriber::EnvFilter;
 
 /// Levels of libraries, which log each connection and request.
 const LIBRARIES: &str = "h2=warn,hyper=warn,hyper_util=warn,salvo_core=warn,tonic=warn,tower=warn";
 
-/// Starts the log of the process on standard error; a second call has no effect.
+/// Starts the log of the process on standard output, with colours only on a
+/// terminal; a second call has no effect.
 pub fn start_log(settings: &LogSettings) {
     let filter = EnvFilter::new(format!("{},{LIBRARIES}", settings.level));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_writer(std::io::stderr);
+        .with_ansi(std::io::stdout().is_terminal())
+        .with_writer(std::io::stdout);
     // The first log stays when a log was started before.
     let _ = match settings.format {
         LogFormat::Text => builder.try_init(),
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -34,6 +34,9 @@
 /// Bounds of that time, in milliseconds.
 const SILENCE_BOUNDS_MS: (u64, u64) = (300, 4_000);
 
+/// The time of work that waits for as long as the request has time.
+const NO_LIMIT: Duration = Duration::from_secs(24 * 3_600);
+
 /// How a request ended without a good answer.
 #[derive(Debug)]
 pub(super) struct Ending {
@@ -102,6 +105,7 @@
                         log.may_have_run = true;
                         continue;
                     }
+                    self.shared.state().suspects.clear(job.fingerprint);
                     if let Some(place) = place {
                         place.note(Sign::Good, job);
                     }
@@ -178,7 +182,7 @@
     fn note_bad(&self, job: &Job<D, C>, place: &Place<D, C>, bad: &Bad) {
         match bad.seen {
             Seen::NotSent | Seen::Silent => place.note(Sign::Unreachable, job),
-            Seen::Failed | Seen::Broken => place.note(Sign::Bad, job),
+            Seen::Failed | Seen::Broken | Seen::Spoilt => place.note(Sign::Bad, job),
             Seen::NotRun | Seen::TimeOver => {}
         }
         if bad.seen == Seen::Broken {
@@ -261,7 +265,7 @@
 /// that cannot be repeated waits for as long as it has time.
 fn silence<D: Dialect, C: Clock>(job: &Job<D, C>, log: &Log) -> Duration {
     if !job.route.work.may_run_again() || !log.has_tries_left(job.route.endpoints_most) {
-        return Duration::from_millis(job.time_ms);
+        return NO_LIMIT;
     }
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     #[allow(clippy::cast_precision_loss)]
--- a/crates/hemlockhitch_gateway/src/attempt/send.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/send.rs
@@ -99,7 +99,7 @@
         if terms.request.as_deref() != Some(job.terms.request.as_str()) {
             let name = &place.name;
             tracing::info!(event = "HH1222", request = job.terms.request, %name, "answer of another request");
-            return (Err(Seen::Broken.into()), Some(place));
+            return (Err(Seen::Spoilt.into()), Some(place));
         }
         let status = response.status();
         let good = status.is_success() && terms.signed && !terms.encoded;
@@ -181,7 +181,7 @@
         });
     }
     if !terms.signed || status.is_success() {
-        return Err(Seen::Broken.into());
+        return Err(Seen::Spoilt.into());
     }
     Err(Bad {
         seen: Seen::Failed,
--- a/crates/hemlockhitch_routing/src/judge/mod.rs
+++ b/crates/hemlockhitch_routing/src/judge/mod.rs
@@ -40,8 +40,10 @@
     NotRun,
     /// The endpoint's own whole failure.
     Failed,
-    /// The connection ended, or what came is not a whole answer to this request.
+    /// The connection ended before the answer was whole.
     Broken,
+    /// What came is no answer to this request, or a spoilt one.
+    Spoilt,
     /// Nothing came for too long.
     Silent,
     /// The request's time is over.
--- a/crates/hemlockhitch_routing/tests/judge.rs
+++ b/crates/hemlockhitch_routing/tests/judge.rs
@@ -10,11 +10,12 @@
     ("resumable", Work::Stream { resumable: true }),
 ];
 
-const SEEN: [Seen; 6] = [
+const SEEN: [Seen; 7] = [
     Seen::NotSent,
     Seen::NotRun,
     Seen::Failed,
     Seen::Broken,
+    Seen::Spoilt,
     Seen::Silent,
     Seen::TimeOver,
 ];
