Share evidence on new versions between nodes; wait less in watches

Whole streams were timed, whose length varies more than a bad version slows them. Ruled out: a trial on a tenth of the endpoints, so that each bears its usual load. Change: nodes tell each other their evidence when it changes much; the time to the first event and the pace of events are compared apart; a watch waits 0.9 s.

--- a/crates/hemlockhitch/src/gateway/derived.rs
+++ b/crates/hemlockhitch/src/gateway/derived.rs
@@ -10,9 +10,10 @@
 /// the way to an endpoint and a late wake-up.
 const REVOKE_MARGIN_MS: u64 = 150;
 
-/// How long a watch of the store waits, in milliseconds: each answer proves that the
-/// configuration is recent, and two must fit into the bound on API keys.
-const WATCH_MS: u64 = 1_800;
+/// How long a watch of the store waits, in milliseconds: an answer proves that the
+/// configuration was recent when the watch began, so knowledge may be two waits old
+/// when the store fails, and keys are to work for three seconds from then.
+const WATCH_MS: u64 = 900;
 
 /// How long an endpoint that vanished during an outage of the store may take to come
 /// back, in milliseconds: the platform states two seconds.
--- a/crates/hemlockhitch_gateway/src/attempt/place.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/place.rs
@@ -12,6 +12,9 @@
 use crate::dialect::Dialect;
 use crate::state::{Shared, State};
 
+/// Work of an answer beside its prompt, as prompt tokens that take as long.
+const FIXED_TOKENS: u64 = 3_000;
+
 /// A place at an endpoint; it is free again when it is dropped.
 #[derive(Debug)]
 pub(super) struct Place<D: Dialect, C: Clock> {
@@ -23,6 +26,7 @@
     model_hash: u64,
     unread_tokens: u64,
     taken_mono_ms: u64,
+    read_mono_ms: u64,
 }
 
 impl<D: Dialect, C: Clock> Place<D, C> {
@@ -73,6 +77,7 @@
             model_hash,
             unread_tokens,
             taken_mono_ms: now.mono_ms,
+            read_mono_ms: now.mono_ms,
         })
     }
 
@@ -82,10 +87,42 @@
         if let Some(known) = self.shared.state().fleet.get_mut(self.endpoint) {
             known.unread_tokens = known.unread_tokens.saturating_sub(unread_tokens);
         }
+        self.read_mono_ms = self.shared.now().mono_ms;
     }
 
-    /// Takes in what a try showed of the endpoint and its version.
+    /// Takes in what a try showed of the endpoint, and of its version up to the
+    /// answer or its first event.
     pub(super) fn note(&self, sign: Sign, job: &Job<D, C>) {
+        self.note_health(sign);
+        if sign == Sign::Unreachable {
+            return;
+        }
+        let now = self.shared.now();
+        let seen = Observation {
+            kind_hash: mix(hash_bytes(&job.route.name), self.model_hash),
+            work: FIXED_TOKENS + job.terms.prompt_tokens,
+            of_target: false,
+            failed: sign == Sign::Bad,
+            took_ms: now.mono_ms.saturating_sub(self.taken_mono_ms),
+        };
+        self.note_version(seen, job, now);
+    }
+
+    /// Takes in how long a stream of this many events took after its first one.
+    pub(super) fn note_events(&self, events: u64, job: &Job<D, C>) {
+        self.note_health(Sign::Good);
+        let now = self.shared.now();
+        let seen = Observation {
+            kind_hash: mix(hash_bytes(&job.route.name), !self.model_hash),
+            work: events,
+            of_target: false,
+            failed: false,
+            took_ms: now.mono_ms.saturating_sub(self.read_mono_ms),
+        };
+        self.note_version(seen, job, now);
+    }
+
+    fn note_health(&self, sign: Sign) {
         let now = self.shared.now();
         let mut state = self.shared.state();
         if let Some(known) = state.fleet.get_mut(self.endpoint)
@@ -95,26 +132,20 @@
             let failing_ratio = known.health.failing_ratio();
             tracing::warn!(event = "HH1221", %name, failing_ratio, ?sign, "endpoint left alone");
         }
-        if sign == Sign::Unreachable {
-            return;
-        }
+    }
+
+    fn note_version(&self, seen: Observation, job: &Job<D, C>, now: Now) {
+        let mut state = self.shared.state();
         let state = &mut *state;
         let roll_out = state.roll_outs.get_mut(&job.service);
-        let roll_out = roll_out.filter(|roll_out| !roll_out.stage().is_final());
-        let seen = Observation {
-            kind_hash: mix(hash_bytes(&job.route.name), self.model_hash),
-            prompt_tokens: job.terms.prompt_tokens,
-            of_target: roll_out
-                .as_ref()
-                .is_some_and(|roll_out| roll_out.order().target == self.version),
-            failed: sign == Sign::Bad,
-            took_ms: now.mono_ms.saturating_sub(self.taken_mono_ms),
-        };
-        let evidence = match roll_out {
-            Some(roll_out) => roll_out.evidence(),
-            None => state.usual.entry(job.service.clone()).or_default(),
+        let Some(roll_out) = roll_out.filter(|roll_out| !roll_out.stage().is_final()) else {
+            let usual = state.usual.entry(job.service.clone()).or_default();
+            return usual.note(seen, now);
         };
-        evidence.note(seen, now);
+        let of_target = roll_out.order().target == self.version;
+        roll_out
+            .evidence()
+            .note(Observation { of_target, ..seen }, now);
     }
 
     /// Returns how long the place has been held, in milliseconds.
--- a/crates/hemlockhitch_gateway/src/attempt/relay.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/relay.rs
@@ -86,6 +86,7 @@
         let pause_ms = self.job.route.pause_ms.unwrap_or(PAUSE_DEFAULT_MS);
         let silence = Duration::from_millis(pause_ms * SILENT_PAUSES);
         let mut stream = stream;
+        let mut events = 0;
         loop {
             let can_move = self.job.route.work.may_run_again()
                 && self.log.has_tries_left(self.job.route.endpoints_most);
@@ -99,23 +100,24 @@
                 Some(Next::Event(event)) => {
                     self.log.last_event = event.id.or(self.log.last_event);
                     self.log.relayed = true;
+                    events += 1;
                     if self.sender.send(Piece::Bytes(event.bytes)).await.is_err() {
                         return false;
                     }
                 }
                 Some(Next::End) => {
-                    stream.place.note(Sign::Good, &self.job);
+                    stream.place.note_events(events, &self.job);
                     let (place, connection, idle_ms) = stream.finish();
                     self.gateway.shared.connections().keep(connection, idle_ms);
                     drop(place);
                     return true;
                 }
                 Some(Next::Broken) => match self.resume(stream, Seen::Broken).await {
-                    Some(resumed) => stream = resumed,
+                    Some(resumed) => (stream, events) = (resumed, 0),
                     None => return false,
                 },
                 None => match self.resume(stream, Seen::Silent).await {
-                    Some(resumed) => stream = resumed,
+                    Some(resumed) => (stream, events) = (resumed, 0),
                     None => return false,
                 },
             }
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -92,6 +92,11 @@
             match result {
                 Ok(good) => {
                     log.under_way = false;
+                    match (&good.opened, &place) {
+                        (Opened::Stream(stream), _) => stream.place.note(Sign::Good, job),
+                        (Opened::Whole(_), Some(place)) => place.note(Sign::Good, job),
+                        (Opened::Whole(_), None) => {}
+                    }
                     if let Some(larger) = self.larger_size(job, log, &good) {
                         tracing::info!(
                             event = "HH1223",
@@ -106,9 +111,6 @@
                         continue;
                     }
                     self.shared.state().suspects.clear(job.fingerprint);
-                    if let Some(place) = place {
-                        place.note(Sign::Good, job);
-                    }
                     return Ok(good.opened);
                 }
                 Err(bad) => {
--- a/crates/hemlockhitch_gateway/src/feed/apply.rs
+++ b/crates/hemlockhitch_gateway/src/feed/apply.rs
@@ -33,6 +33,11 @@
         steward::learn_pins(&mut shared.state(), service_and_node, entry);
         return;
     }
+    if let Some(service_and_node) = entry.key.strip_prefix(steward::EVIDENCE_PREFIX) {
+        let own = shared.settings().node.as_str();
+        steward::learn_evidence(&mut shared.state(), own, service_and_node, entry);
+        return;
+    }
     let subject = shared.dialect().subject(&entry.key);
     if subject == Subject::Other {
         return;
--- a/crates/hemlockhitch_gateway/src/steward/mod.rs
+++ b/crates/hemlockhitch_gateway/src/steward/mod.rs
@@ -3,10 +3,12 @@
 //! Any node may make the next step; a compare-and-swap lets one of them do it. Every
 //! node holds what the store says, so that a step survives the node that made it.
 
+mod evidence;
 mod pins;
 mod record;
 mod reports;
 
+pub(crate) use evidence::{EVIDENCE_PREFIX, learn_evidence};
 pub(crate) use pins::{PINS_PREFIX, learn_pins};
 pub(crate) use record::{STAGE_PREFIX, SUSPECT_PREFIX, StageRecord, learn_stage, learn_suspect};
 
@@ -74,6 +76,7 @@
     }
 
     async fn step(&mut self, service: &ServiceName) -> Result<(), KeyValueError> {
+        evidence::share(&self.shared, &self.store, service).await?;
         if let Some(stage) = self.next_stage(service, true)
             && (stage == Stage::RolledBack || self.is_due(service, stage))
             && (self.next_stage(service, false).is_some() || self.others_idle(service).await)
--- a/crates/hemlockhitch_routing/src/roll_out/evidence.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/evidence.rs
@@ -17,6 +17,13 @@
 /// one, as a logarithm: 4,000 times, as each answer is a chance to be wrong.
 const BAD_LOG: f64 = 8.3;
 
+/// Added to that for each node whose evidence counts, as chance alone gives each of
+/// them some.
+const BAD_LOG_PER_NODE: f64 = 2.0;
+
+/// Change of its evidence from which a node tells it to the others.
+const SHARED_STEP_LOG: f64 = 1.5;
+
 /// The least share of failures that is taken for usual, so that two in a row are no
 /// proof.
 const USUAL_LEAST: f64 = 0.03;
@@ -35,39 +42,36 @@
 /// For how long an answer of the others is compared with, in milliseconds.
 const COMPARED_MS: u64 = 2_000;
 
-/// Work of an answer beside its prompt, as prompt tokens that take as long.
-const FIXED_TOKENS: f64 = 3_000.0;
-
 /// Weight of the newest answer in the mean time of the others.
 const NEWEST_WEIGHT: f64 = 0.1;
 
 /// One answer, or the lack of one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Observation {
-    /// A hash of the kind of request and of its model; times are compared within it.
+    /// A hash of the kind of work and of its model; times are compared within it.
     pub kind_hash: u64,
-    /// The prompt's length in tokens.
-    pub prompt_tokens: u64,
+    /// How much work it was, in units of the kind, such as tokens or events.
+    pub work: u64,
     /// Whether the version that is rolled out gave it.
     pub of_target: bool,
     /// Whether it failed.
     pub failed: bool,
-    /// The time to the answer or its first event, in milliseconds.
+    /// The time that the work took, in milliseconds.
     pub took_ms: u64,
 }
 
 impl Observation {
-    fn ms_per_token(self) -> f64 {
+    fn ms_per_unit(self) -> f64 {
         #[allow(clippy::cast_precision_loss)]
-        let (took_ms, prompt_tokens) = (self.took_ms as f64, self.prompt_tokens as f64);
-        took_ms / (FIXED_TOKENS + prompt_tokens)
+        let (took_ms, work) = (self.took_ms as f64, self.work.max(1) as f64);
+        took_ms / work
     }
 }
 
-/// The usual time of the others' answers for a token of work, in milliseconds.
+/// The usual time of the others' answers for a unit of work, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
-    ms_per_token: f64,
+    ms_per_unit: f64,
     last_mono_ms: u64,
 }
 
@@ -80,6 +84,8 @@
     good: u32,
     bad: u32,
     log_ratio: f64,
+    shared_log: f64,
+    peers: HashMap<String, f64>,
 }
 
 impl Evidence {
@@ -102,12 +108,12 @@
             self.others_failed += 1.0;
             return;
         }
-        let ms_per_token = seen.ms_per_token();
+        let ms_per_unit = seen.ms_per_unit();
         let usual = self.usual_pace.entry(seen.kind_hash).or_insert(Pace {
-            ms_per_token,
+            ms_per_unit,
             last_mono_ms: now.mono_ms,
         });
-        usual.ms_per_token += (ms_per_token - usual.ms_per_token) * NEWEST_WEIGHT;
+        usual.ms_per_unit += (ms_per_unit - usual.ms_per_unit) * NEWEST_WEIGHT;
         usual.last_mono_ms = now.mono_ms;
     }
 
@@ -135,7 +141,7 @@
         } else {
             SLOW_ALONE_FACTOR
         };
-        seen.ms_per_token() > factor * usual.ms_per_token
+        seen.ms_per_unit() > factor * usual.ms_per_unit
     }
 
     /// Returns how many good answers the new version gave.
@@ -150,9 +156,30 @@
         self.bad
     }
 
-    /// Returns whether the new version is worse than the others.
+    /// Takes in the evidence of another node.
+    pub fn learn(&mut self, node: impl Into<String>, log_ratio: f64) {
+        self.peers.insert(node.into(), log_ratio);
+    }
+
+    /// Returns this node's evidence if the others should be told of it.
+    #[must_use]
+    pub fn news(&self) -> Option<f64> {
+        let changed = (self.log_ratio - self.shared_log).abs() >= SHARED_STEP_LOG;
+        changed.then_some(self.log_ratio)
+    }
+
+    /// Takes in that the others were told.
+    pub fn told(&mut self, log_ratio: f64) {
+        self.shared_log = log_ratio;
+    }
+
+    /// Returns whether the new version is worse than the others, by this node's
+    /// evidence or by that of all.
     #[must_use]
     pub fn is_bad(&self) -> bool {
-        self.log_ratio >= BAD_LOG
+        #[allow(clippy::cast_precision_loss)]
+        let nodes = self.peers.len() as f64 + 1.0;
+        let joint = self.log_ratio + self.peers.values().sum::<f64>();
+        self.log_ratio >= BAD_LOG || joint >= BAD_LOG + BAD_LOG_PER_NODE * nodes
     }
 }
--- a/crates/hemlockhitch_routing/tests/roll_out.rs
+++ b/crates/hemlockhitch_routing/tests/roll_out.rs
@@ -23,6 +23,7 @@
 struct Version {
     failing_ratio: f64,
     slow_factor: u64,
+    slow_ratio: f64,
     bad_from_ms: u64,
 }
 
@@ -53,6 +54,7 @@
             &mut rng,
             now,
         );
+        share_evidence(&mut nodes);
         let next = nodes.iter().find_map(|node| node.next_stage(true, now));
         if let Some(stage) = next {
             for node in &mut nodes {
@@ -65,13 +67,28 @@
     played
 }
 
+/// Tells each node's news to the others.
+fn share_evidence(nodes: &mut [RollOut]) {
+    for teller in 0..NODES {
+        let Some(log_ratio) = nodes[teller].evidence().news() else {
+            continue;
+        };
+        nodes[teller].evidence().told(log_ratio);
+        for (index, node) in nodes.iter_mut().enumerate() {
+            if index != teller {
+                node.evidence().learn(format!("node-{teller}"), log_ratio);
+            }
+        }
+    }
+}
+
 /// What a node saw in the ten seconds before the order.
 fn before(usual_failing_ratio: f64, rng: &mut Rng) -> Evidence {
     let mut evidence = Evidence::default();
     for _ in 0..60 {
         let seen = Observation {
             kind_hash: 1,
-            prompt_tokens: 4_000,
+            work: 7_000,
             of_target: false,
             failed: rng.f64() < usual_failing_ratio,
             took_ms: 130,
@@ -95,13 +112,14 @@
     let is_bad = of_target && now.mono_ms >= version.bad_from_ms;
     let failing_ratio = if is_bad { version.failing_ratio } else { 0.0 };
     let failed = rng.f64() < usual_failing_ratio.max(failing_ratio);
-    let slow_factor = if is_bad { version.slow_factor } else { 1 };
+    let is_slow = is_bad && rng.f64() < version.slow_ratio;
+    let slow_factor = if is_slow { version.slow_factor } else { 1 };
     let prompt_tokens = 500 + rng.u64(0..8_000);
     let took_ms = (60 + prompt_tokens / 70 + rng.u64(0..60)) * slow_factor;
     node.evidence().note(
         Observation {
             kind_hash: 1,
-            prompt_tokens,
+            work: 3_000 + prompt_tokens,
             of_target,
             failed,
             took_ms,
@@ -116,6 +134,7 @@
 const GOOD: Version = Version {
     failing_ratio: 0.0,
     slow_factor: 1,
+    slow_ratio: 1.0,
     bad_from_ms: 0,
 };
 
@@ -153,11 +172,21 @@
         slow_factor: 8,
         ..GOOD
     };
+    let half_slow = Version {
+        slow_factor: 8,
+        slow_ratio: 0.5,
+        ..GOOD
+    };
     let late = Version {
         bad_from_ms: 3_000,
         ..failing
     };
-    for (kind, version) in [("failing", failing), ("slow", slow), ("late", late)] {
+    for (kind, version) in [
+        ("failing", failing),
+        ("slow", slow),
+        ("half slow", half_slow),
+        ("late", late),
+    ] {
         for seed in 0..40 {
             let played = play(version, 0.01, seed);
             assert_eq!(
