Let one node of each data centre watch the store for the others

Watches short enough to serve keys for three seconds after an outage made it dearer still. Ruled out: longer watches (keys are refused too early); a fixed watcher (any VM may go). Change: nodes tell their address in the list of nodes; the first of a data centre by hash follows the store, the others follow it over a tonic feed, whose answers carry the age of what they say, and the store whenever that one fails or falls behind. A node counts the age from the sending of its call, so that a delayed answer never makes old knowledge look new.

--- a/crates/hemlockhitch/src/gateway/derived.rs
+++ b/crates/hemlockhitch/src/gateway/derived.rs
@@ -13,7 +13,11 @@
 /// How long a watch of the store waits, in milliseconds: an answer proves that the
 /// configuration was recent when the watch began, so knowledge may be two waits old
 /// when the store fails, and keys are to work for three seconds from then.
-const WATCH_MS: u64 = 900;
+const WATCH_MS: u64 = 400;
+
+/// How long a call waits at a node that is followed, in milliseconds: two of them come
+/// on top of the watches of that node.
+const PEER_WATCH_MS: u64 = 500;
 
 /// How long an endpoint that vanished during an outage of the store may take to come
 /// back, in milliseconds: the platform states two seconds.
@@ -26,6 +30,7 @@
         data_centre: file.node.data_centre.clone(),
         fresh_ms: bounds.revoke_ms.saturating_sub(REVOKE_MARGIN_MS),
         watch_ms: WATCH_MS,
+        peer_watch_ms: PEER_WATCH_MS,
         repeats: RepeatSettings {
             per_request: bounds.repeat_ratio,
             allowance: bounds.repeat_allowance,
--- a/crates/hemlockhitch/src/gateway/mod.rs
+++ b/crates/hemlockhitch/src/gateway/mod.rs
@@ -50,12 +50,15 @@
         hemlockhitch_gateway::serve_readiness(listen.readiness, readiness.clone())
             .await
             .map_err(|error| NodeError::listen(listen.readiness, &error))?;
+        let feed = hemlockhitch_gateway::serve_feed(listen.peers, shared.clone())
+            .await
+            .map_err(|error| NodeError::listen(listen.peers, &error))?;
         let metrics = ApiServer::start(listen.metrics, metrics_page::routes())
             .await
             .map_err(|error| NodeError::new(NodeErrorKind::Listen, error.to_string()))?;
         let background = vec![
             tokio::spawn(follow(shared.clone(), store.clone())),
-            tokio::spawn(announce(shared.clone(), store.clone())),
+            tokio::spawn(announce(shared.clone(), store.clone(), feed)),
             tokio::spawn(steer(shared, store)),
         ];
         tracing::info!(event = "HH0920", node = %file.node.name, callers = %front.address(), "gateway started");
--- a/crates/hemlockhitch_config/src/settings/gateway.rs
+++ b/crates/hemlockhitch_config/src/settings/gateway.rs
@@ -38,6 +38,8 @@
     pub callers: SocketAddr,
     /// Address for the balancer's question whether the node is ready.
     pub readiness: SocketAddr,
+    /// Address for other nodes.
+    pub peers: SocketAddr,
     /// Address for metrics.
     pub metrics: SocketAddr,
 }
@@ -105,6 +107,7 @@
     let node = sections::node(reader);
     let callers = reader.address("listen", "callers");
     let readiness = reader.address("listen", "readiness");
+    let peers = reader.address("listen", "peers");
     let metrics = reader.address("listen", "metrics");
     let key_value = reader.address("platform", "key_value");
     let bounds = GatewayBounds {
@@ -125,6 +128,7 @@
         listen: GatewayListen {
             callers: callers?,
             readiness: readiness?,
+            peers: peers?,
             metrics: metrics?,
         },
         key_value: key_value?,
--- a/crates/hemlockhitch_gateway/src/connection/mod.rs
+++ b/crates/hemlockhitch_gateway/src/connection/mod.rs
@@ -2,6 +2,8 @@
 
 mod open;
 
+pub(crate) use open::watch_over;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
--- a/crates/hemlockhitch_gateway/src/feed/apply.rs
+++ b/crates/hemlockhitch_gateway/src/feed/apply.rs
@@ -17,7 +17,9 @@
     now: Now,
 ) {
     if let Some(node) = entry.key.strip_prefix(presence::PREFIX) {
-        shared.state().set_node(node, true);
+        // A node whose record cannot be read counts, but is not followed.
+        let record = serde_json::from_str(&entry.value).unwrap_or_default();
+        shared.state().put_node(node, record);
         return;
     }
     if let Some(service) = entry.key.strip_prefix(steward::STAGE_PREFIX) {
@@ -121,7 +123,7 @@
 
 pub(super) fn delete<D: Dialect, C: Clock>(shared: &Shared<D, C>, key: &str, now: Now) {
     if let Some(node) = key.strip_prefix(presence::PREFIX) {
-        shared.state().set_node(node, false);
+        shared.state().remove_node(node);
         return;
     }
     match shared.dialect().subject(key) {
--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -1,33 +1,76 @@
 //! Follows the store and keeps the node's state up to date.
+//!
+//! One node of each data centre watches the store; the others follow that one, and
+//! the store itself whenever it fails them.
 
 mod apply;
 mod backoff;
+mod source;
 
 pub(crate) use backoff::Backoff;
 
-use std::collections::HashSet;
-
 use hemlockhitch_model::{Clock, Now};
 use hemlockhitch_ports::key_value::{Entry, KeyValue, WatchBatch};
 use tokio::time::sleep;
 
 use crate::dialect::Dialect;
+use crate::peer::FeedClients;
 use crate::state::Shared;
+use source::{Source, Sources};
 
 /// Every key: one watch for all that a node follows.
 const EVERYTHING: &str = "";
 
+/// Where nodes keep their own notes in the store.
+const NOTES_PREFIX: &str = "hemlockhitch/";
+
+/// The greatest age of another node's knowledge at which it is followed, in
+/// milliseconds: more than two of its watches.
+const PEER_AGE_MOST_MS: u64 = 1_400;
+
 /// Follows the store until the task is ended.
 pub async fn follow<D: Dialect, C: Clock>(shared: Shared<D, C>, store: impl KeyValue) {
     let mut follower = Follower::default();
+    let mut clients = FeedClients::default();
+    let mut sources = Sources::default();
     let mut backoff = Backoff::new();
-    let watch_ms = shared.settings().watch_ms;
+    let settings = shared.settings().clone();
     loop {
         let sent = shared.now();
-        match store.watch(EVERYTHING, follower.revision, watch_ms).await {
+        let revision = shared.mirror().revision();
+        let source = sources.choose(&shared.state().nodes, &settings, sent);
+        let (result, age_ms) = match &source {
+            Source::Peer(address) if revision > 0 => {
+                match clients
+                    .follow(address, revision, settings.peer_watch_ms)
+                    .await
+                {
+                    Ok((batch, age_ms)) => (Ok(batch), age_ms),
+                    Err(error) => {
+                        tracing::debug!(event = "HH1261", %error, "other node not followed");
+                        sources.avoid(address, shared.now());
+                        continue;
+                    }
+                }
+            }
+            Source::Peer(_) | Source::Store => {
+                let watch = store.watch(EVERYTHING, revision, settings.watch_ms).await;
+                (watch, 0)
+            }
+        };
+        if let Source::Peer(address) = &source
+            && age_ms > PEER_AGE_MOST_MS
+        {
+            sources.avoid(address, shared.now());
+        }
+        match result {
             Ok(batch) => {
                 backoff.reset();
-                follower.take(&shared, batch, sent);
+                let confirmed = Now {
+                    mono_ms: sent.mono_ms.saturating_sub(age_ms),
+                    ..sent
+                };
+                follower.take(&shared, batch, confirmed);
             }
             Err(error) => {
                 follower.lose(&shared, &error.to_string());
@@ -37,14 +80,9 @@
     }
 }
 
-/// Where nodes keep their own notes in the store.
-const NOTES_PREFIX: &str = "hemlockhitch/";
-
-/// What the follower knows of the store.
+/// What the follower remembers between batches.
 #[derive(Debug, Default)]
 struct Follower {
-    revision: u64,
-    known: HashSet<String>,
     lost: bool,
     /// Keys that vanished while the store was away, and until when they stay.
     vanished: Vec<(String, u64)>,
@@ -52,7 +90,13 @@
 }
 
 impl Follower {
-    fn take<D: Dialect, C: Clock>(&mut self, shared: &Shared<D, C>, batch: WatchBatch, sent: Now) {
+    /// Takes in a batch that was right at `confirmed` at least.
+    fn take<D: Dialect, C: Clock>(
+        &mut self,
+        shared: &Shared<D, C>,
+        batch: WatchBatch,
+        confirmed: Now,
+    ) {
         let now = shared.now();
         if self.lost {
             self.lost = false;
@@ -63,25 +107,12 @@
                 "store reached again"
             );
         }
-        let mut deleted = batch.deleted;
-        if batch.complete {
-            let listed: HashSet<&str> = batch
-                .written
-                .iter()
-                .map(|entry| entry.key.as_str())
-                .collect();
-            let gone = self
-                .known
-                .iter()
-                .filter(|key| !listed.contains(key.as_str()));
-            deleted.extend(gone.cloned());
-        }
+        let is_live = shared.mirror().revision() != 0;
+        let deleted = shared.mirror().take(&batch);
         for key in deleted {
-            self.known.remove(&key);
             self.delete(shared, key, now);
         }
         // Nodes' own notes are about orders, which must be known first.
-        let is_live = self.revision != 0;
         let (notes, platform): (Vec<Entry>, Vec<Entry>) = batch
             .written
             .into_iter()
@@ -89,11 +120,10 @@
         for entry in platform.into_iter().chain(notes) {
             self.vanished.retain(|(key, _)| *key != entry.key);
             apply::write(shared, &entry, is_live, now);
-            self.known.insert(entry.key);
         }
-        self.revision = self.revision.max(batch.revision);
         self.drop_vanished(shared, now);
-        shared.state().freshness.confirm(sent);
+        shared.state().freshness.confirm(confirmed);
+        shared.publish_revision();
     }
 
     /// Deletes a key, later if the store was away a moment ago: an entry may have
--- a/crates/hemlockhitch_gateway/src/lib.rs
+++ b/crates/hemlockhitch_gateway/src/lib.rs
@@ -11,15 +11,23 @@
 mod events;
 mod feed;
 mod front;
+mod peer;
 mod presence;
 mod settings;
 mod state;
 mod steward;
 
+/// Messages of the feed between nodes, generated from `proto/feed.proto`.
+#[allow(missing_docs, clippy::all, clippy::pedantic, unused_qualifications)]
+#[path = "gen/hemlockhitch.feed.rs"]
+#[rustfmt::skip]
+mod wire;
+
 pub use attempt::{AnswerBody, Gateway};
 pub use dialect::{AnswerTerms, Change, Dialect, SendTerms, Subject, Terms, UnreadableValue};
 pub use feed::follow;
 pub use front::{Front, Readiness, serve_readiness};
+pub use peer::serve_feed;
 pub use presence::announce;
 pub use settings::GatewaySettings;
 pub use state::{Shared, State};
--- /dev/null
+++ b/crates/hemlockhitch_gateway/src/peer/mod.rs
@@ -0,0 +1,10 @@
+//! Passes what the store holds from nodes that watch it to the others of their data
+//! centre, so that calls of the store grow with data centres and not with nodes.
+
+mod client;
+mod mirror;
+mod server;
+
+pub(crate) use client::FeedClients;
+pub(crate) use mirror::Mirror;
+pub use server::serve_feed;
--- /dev/null
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -0,0 +1,115 @@
+//! Serves the feed to other nodes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hemlockhitch_model::Clock;
+use hemlockhitch_ports::key_value::WatchBatch;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+use tonic::{Request, Response, Status};
+
+use crate::connection;
+use crate::dialect::Dialect;
+use crate::state::Shared;
+use crate::wire;
+use crate::wire::feed_server::{Feed, FeedServer};
+
+/// Pause after a connection could not be taken, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The longest that a call may wait, in milliseconds.
+const WAIT_MOST_MS: u64 = 5_000;
+
+/// Passes on what a node knows of the store.
+#[derive(Debug)]
+struct FeedService<D, C> {
+    shared: Shared<D, C>,
+}
+
+/// Serves the feed on `address`, in the background.
+///
+/// # Errors
+///
+/// Fails when the address cannot be listened on.
+pub async fn serve_feed<D: Dialect, C: Clock>(
+    address: SocketAddr,
+    shared: Shared<D, C>,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let service = FeedServer::new(FeedService { shared });
+    tokio::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(serve_connection(stream, service.clone()));
+                }
+                Err(error) => {
+                    tracing::warn!(event = "HH1260", %error, "connection of a node not taken");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    });
+    Ok(address)
+}
+
+async fn serve_connection<D: Dialect, C: Clock>(
+    stream: TcpStream,
+    service: FeedServer<FeedService<D, C>>,
+) {
+    if let Err(error) = connection::watch_over(&stream) {
+        tracing::debug!(event = "HH1262", %error, "connection of a node not set up");
+        return;
+    }
+    let served = auto::Builder::new(TokioExecutor::new())
+        .http2_only()
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service))
+        .await;
+    if let Err(error) = served {
+        tracing::debug!(event = "HH1263", %error, "connection of a node ended");
+    }
+}
+
+#[tonic::async_trait]
+impl<D: Dialect, C: Clock> Feed for FeedService<D, C> {
+    async fn follow(
+        &self,
+        request: Request<wire::FollowRequest>,
+    ) -> Result<Response<wire::FollowReply>, Status> {
+        let request = request.into_inner();
+        let wait = Duration::from_millis(request.wait_ms.min(WAIT_MOST_MS));
+        let mut revisions = self.shared.revisions();
+        let newer = revisions.wait_for(|revision| *revision > request.revision);
+        // At the end of the wait the answer says that nothing changed, and how
+        // recent that is.
+        let _ = timeout(wait, newer).await;
+        let now = self.shared.now();
+        let age_ms = self.shared.state().freshness.age_ms(now);
+        let Some(age_ms) = age_ms else {
+            return Err(Status::unavailable("the node does not know the store yet"));
+        };
+        let batch = self.shared.mirror().since(request.revision);
+        Ok(Response::new(reply(batch, age_ms)))
+    }
+}
+
+fn reply(batch: WatchBatch, age_ms: u64) -> wire::FollowReply {
+    let written = batch.written.into_iter().map(|entry| wire::StoredEntry {
+        key: entry.key,
+        value: entry.value,
+        version: entry.version,
+    });
+    wire::FollowReply {
+        revision: batch.revision,
+        complete: batch.complete,
+        written: written.collect(),
+        deleted: batch.deleted,
+        age_ms,
+    }
+}
--- a/crates/hemlockhitch_gateway/src/presence.rs
+++ b/crates/hemlockhitch_gateway/src/presence.rs
@@ -1,9 +1,11 @@
 //! Tells the other nodes, through the store, that this one may be at work.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hemlockhitch_model::{Clock, NodeName};
 use hemlockhitch_ports::key_value::{Expected, KeyValue, KeyValueError, LeaseId, Swap};
+use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
 use crate::dialect::Dialect;
@@ -20,12 +22,33 @@
 /// How often the lease is renewed: three times before it lapses.
 const RENEW: Duration = Duration::from_millis(LEASE_MS / 4);
 
+/// What a node tells of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct NodeRecord {
+    /// Where it serves the feed, `ip:port`.
+    pub(crate) address: String,
+    /// The data centre that it stands in.
+    pub(crate) data_centre: String,
+}
+
 /// Keeps the node's key in the store for as long as the task runs.
-pub async fn announce<D: Dialect, C: Clock>(shared: Shared<D, C>, store: impl KeyValue) {
+pub async fn announce<D: Dialect, C: Clock>(
+    shared: Shared<D, C>,
+    store: impl KeyValue,
+    feed: SocketAddr,
+) {
     let node = shared.settings().node.clone();
+    let record = NodeRecord {
+        address: feed.to_string(),
+        data_centre: shared.settings().data_centre.to_string(),
+    };
+    // A struct of two strings always has a JSON form.
+    let record = serde_json::to_string(&record).unwrap_or_default();
     let mut backoff = Backoff::new();
     loop {
-        match enter(&store, &node).await {
+        match enter(&store, &node, &record).await {
             Ok(lease) => {
                 backoff.reset();
                 tracing::info!(event = "HH1210", node = %node, "node entered the list of nodes");
@@ -41,12 +64,16 @@
     }
 }
 
-async fn enter(store: &impl KeyValue, node: &NodeName) -> Result<LeaseId, KeyValueError> {
+async fn enter(
+    store: &impl KeyValue,
+    node: &NodeName,
+    record: &str,
+) -> Result<LeaseId, KeyValueError> {
     let lease = store.lease_grant(LEASE_MS).await?;
     let swap = Swap {
         key: format!("{PREFIX}{node}"),
         expected: Expected::Any,
-        value: Some(String::new()),
+        value: Some(record.to_owned()),
         lease: Some(lease),
     };
     store.swap(swap).await?;
--- a/crates/hemlockhitch_gateway/src/settings.rs
+++ b/crates/hemlockhitch_gateway/src/settings.rs
@@ -15,6 +15,8 @@
     pub fresh_ms: u64,
     /// How long a watch of the store waits, in milliseconds.
     pub watch_ms: u64,
+    /// How long a call waits at a node that is followed, in milliseconds.
+    pub peer_watch_ms: u64,
     /// The budget of repeats of all nodes.
     pub repeats: RepeatSettings,
     /// By what factor a cold endpoint's rate may be passed by all nodes together.
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -1,6 +1,6 @@
 //! What the tasks of a node share.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use hemlockhitch_model::{Clock, Now, ServiceName};
@@ -13,8 +13,12 @@
 use hemlockhitch_routing::suspect::Suspects;
 use hemlockhitch_routing::{Freshness, Sessions, hash_bytes};
 
+use tokio::sync::watch;
+
 use crate::connection::Connections;
 use crate::dialect::Dialect;
+use crate::peer::Mirror;
+use crate::presence::NodeRecord;
 use crate::settings::GatewaySettings;
 use crate::steward::StageRecord;
 
@@ -28,7 +32,7 @@
     /// How recent the configuration is.
     pub freshness: Freshness,
     /// The nodes that may be at work, by name.
-    pub nodes: HashSet<String>,
+    pub nodes: BTreeMap<String, NodeRecord>,
     node_hashes: Vec<u64>,
     /// Roll-outs by service.
     pub roll_outs: HashMap<ServiceName, RollOut>,
@@ -63,7 +67,7 @@
             catalogue: None,
             fleet: Fleet::default(),
             freshness: Freshness::default(),
-            nodes: HashSet::new(),
+            nodes: BTreeMap::new(),
             node_hashes: Vec::new(),
             roll_outs: HashMap::new(),
             usual: HashMap::new(),
@@ -98,14 +102,16 @@
         u32::try_from(self.nodes.len()).unwrap_or(u32::MAX).max(1)
     }
 
-    /// Takes in that a node may be at work, or is gone.
-    pub(crate) fn set_node(&mut self, node: &str, at_work: bool) {
-        if at_work {
-            self.nodes.insert(node.to_owned());
-        } else {
-            self.nodes.remove(node);
-        }
-        self.node_hashes = self.nodes.iter().map(hash_bytes).collect();
+    /// Takes in that a node may be at work.
+    pub(crate) fn put_node(&mut self, node: &str, record: NodeRecord) {
+        self.nodes.insert(node.to_owned(), record);
+        self.node_hashes = self.nodes.keys().map(hash_bytes).collect();
+    }
+
+    /// Takes in that a node is gone.
+    pub(crate) fn remove_node(&mut self, node: &str) {
+        self.nodes.remove(node);
+        self.node_hashes = self.nodes.keys().map(hash_bytes).collect();
     }
 
     /// Returns how fast all nodes may ask one cold endpoint of a service; `None` if
@@ -130,6 +136,8 @@
 #[derive(Debug)]
 struct Parts<D, C> {
     state: Mutex<State>,
+    mirror: Mutex<Mirror>,
+    revisions: watch::Sender<u64>,
     connections: Connections,
     dialect: D,
     clock: C,
@@ -151,6 +159,8 @@
         Self {
             parts: Arc::new(Parts {
                 state: Mutex::new(State::new(&settings)),
+                mirror: Mutex::default(),
+                revisions: watch::Sender::new(0),
                 connections: Connections::default(),
                 dialect,
                 clock,
@@ -184,6 +194,28 @@
         &self.parts.settings
     }
 
+    /// Locks what the node knows of the store; never held while a task waits, nor
+    /// together with the state.
+    pub(crate) fn mirror(&self) -> MutexGuard<'_, Mirror> {
+        let mirror = self.parts.mirror.lock();
+        mirror.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells those who follow this node up to which revision it knows the store.
+    pub(crate) fn publish_revision(&self) {
+        let revision = self.mirror().revision();
+        self.parts.revisions.send_if_modified(|known| {
+            let newer = revision > *known;
+            *known = revision;
+            newer
+        });
+    }
+
+    /// Returns the revisions that are told to those who follow this node.
+    pub(crate) fn revisions(&self) -> watch::Receiver<u64> {
+        self.parts.revisions.subscribe()
+    }
+
     pub(crate) fn connections(&self) -> &Connections {
         &self.parts.connections
     }
--- a/crates/hemlockhitch_peer/examples/generate.rs
+++ b/crates/hemlockhitch_peer/examples/generate.rs
@@ -11,5 +11,5 @@
 
 fn main() -> Result<(), Box<dyn Error>> {
     let package = Path::new(env!("CARGO_MANIFEST_DIR"));
-    generator::generate(package, &package.join("src/gen"))
+    generator::generate(package, "peer.proto", &package.join("src/gen"))
 }
