Let the node that bears most watch the store; sort routes once

The node that watched the store was found by hash alone and had to pass half a megabyte to fifteen others over a link that may carry 10 Mbit/s; besides, each added route sorted the routes of its host again. Change: a node tells what it bears, the smaller of its link and its processor; the one that bears most watches. Routes are sorted once.

--- a/crates/hemlockhitch/src/gateway/derived.rs
+++ b/crates/hemlockhitch/src/gateway/derived.rs
@@ -28,6 +28,7 @@
     GatewaySettings {
         node: file.node.name.clone(),
         data_centre: file.node.data_centre.clone(),
+        bearing: bearing(bounds.link_mbps, bounds.cores),
         fresh_ms: bounds.revoke_ms.saturating_sub(REVOKE_MARGIN_MS),
         watch_ms: WATCH_MS,
         peer_watch_ms: PEER_WATCH_MS,
@@ -50,6 +51,11 @@
     Duration::from_millis(millis(file.bounds.grace_s))
 }
 
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn bearing(link_mbps: f64, cores: f64) -> u32 {
+    link_mbps.min(cores * 1_000.0) as u32
+}
+
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn millis(seconds: f64) -> u64 {
     (seconds * 1_000.0) as u64
--- a/crates/hemlockhitch_config/src/settings/decimal.rs
+++ b/crates/hemlockhitch_config/src/settings/decimal.rs
@@ -55,3 +55,5 @@
 pub(super) const PART_KEPT_S: Decimal = Decimal::new("part_kept_s", 10.0, (0.1, 3_600.0));
 pub(super) const SESSION_S: Decimal = Decimal::new("session_s", 5.0, (0.1, 3_600.0));
 pub(super) const GRACE_S: Decimal = Decimal::new("grace_s", 10.0, (1.0, 600.0));
+pub(super) const LINK_MBPS: Decimal = Decimal::new("link_mbps", 1_000.0, (0.1, 1e6));
+pub(super) const CORES: Decimal = Decimal::new("cores", 1.0, (0.01, 1e3));
--- a/crates/hemlockhitch_config/src/settings/gateway.rs
+++ b/crates/hemlockhitch_config/src/settings/gateway.rs
@@ -68,6 +68,10 @@
     pub session_s: f64,
     /// How long a stopping node may take, in seconds.
     pub grace_s: f64,
+    /// What the VM's link carries, in megabits a second.
+    pub link_mbps: f64,
+    /// The part of a core, or the cores, that the node has.
+    pub cores: f64,
     /// The most requests that the node has in hand at once.
     pub in_flight: u64,
 }
@@ -120,6 +124,8 @@
         part_kept_s: decimal::PART_KEPT_S.read(reader),
         session_s: decimal::SESSION_S.read(reader),
         grace_s: decimal::GRACE_S.read(reader),
+        link_mbps: decimal::LINK_MBPS.read(reader),
+        cores: decimal::CORES.read(reader),
         in_flight: reader.number(&number::GATEWAY_IN_FLIGHT),
     };
     let log = sections::log(reader);
--- a/crates/hemlockhitch_gateway/src/feed/source.rs
+++ b/crates/hemlockhitch_gateway/src/feed/source.rs
@@ -28,8 +28,8 @@
 }
 
 impl Sources {
-    /// Chooses the first node of the data centre in an order that all of them find by
-    /// the same hashes; the node that is first follows the store.
+    /// Chooses the node of the data centre that bears most, by the same hashes on all
+    /// nodes if several do; that node follows the store.
     pub(super) fn choose(
         &self,
         nodes: &BTreeMap<String, NodeRecord>,
@@ -44,7 +44,7 @@
                 record.data_centre == data_centre
                     && (*name == settings.node.as_str() || !self.is_avoided(&record.address, now))
             })
-            .min_by_key(|(name, _)| place(name));
+            .max_by_key(|(name, record)| (record.bearing, place(name)));
         match first {
             Some((name, record)) if name != settings.node.as_str() => {
                 Source::Peer(record.address.clone())
--- a/crates/hemlockhitch_gateway/src/presence.rs
+++ b/crates/hemlockhitch_gateway/src/presence.rs
@@ -31,6 +31,8 @@
     pub(crate) address: String,
     /// The data centre that it stands in.
     pub(crate) data_centre: String,
+    /// How much work for other nodes it bears, beside theirs.
+    pub(crate) bearing: u32,
 }
 
 /// Keeps the node's key in the store for as long as the task runs.
@@ -43,8 +45,9 @@
     let record = NodeRecord {
         address: feed.to_string(),
         data_centre: shared.settings().data_centre.to_string(),
+        bearing: shared.settings().bearing,
     };
-    // A struct of two strings always has a JSON form.
+    // A struct of strings and a number always has a JSON form.
     let record = serde_json::to_string(&record).unwrap_or_default();
     let mut backoff = Backoff::new();
     loop {
--- a/crates/hemlockhitch_gateway/src/settings.rs
+++ b/crates/hemlockhitch_gateway/src/settings.rs
@@ -10,6 +10,9 @@
     pub node: NodeName,
     /// The data centre that the node stands in.
     pub data_centre: DataCentreName,
+    /// How much work for other nodes this one bears, beside theirs: the smaller of its
+    /// link in megabits a second and its processor in thousandths of a core.
+    pub bearing: u32,
     /// How old the configuration may be for a request with an API key, in
     /// milliseconds.
     pub fresh_ms: u64,
--- a/crates/hemlockhitch_routing/src/catalogue/mod.rs
+++ b/crates/hemlockhitch_routing/src/catalogue/mod.rs
@@ -61,15 +61,18 @@
         self
     }
 
-    /// Adds a route.
+    /// Adds routes.
     #[must_use]
-    pub fn route(mut self, route: Route) -> Self {
-        let host = route.host.to_ascii_lowercase();
-        let key = self.routes.push(Arc::new(route));
+    pub fn routes(mut self, routes: impl IntoIterator<Item = Route>) -> Self {
+        for route in routes {
+            let host = route.host.to_ascii_lowercase();
+            let key = self.routes.push(Arc::new(route));
+            self.by_host.entry(host).or_default().push(key);
+        }
         let routes = &self.routes;
-        let of_host = self.by_host.entry(host).or_default();
-        of_host.push(key);
-        of_host.sort_by_key(|key| std::cmp::Reverse(routes[*key].prefix.len()));
+        for of_host in self.by_host.values_mut() {
+            of_host.sort_by_key(|key| std::cmp::Reverse(routes[*key].prefix.len()));
+        }
         self
     }
 
--- a/crates/hemlockhitch_routing/tests/catalogue.rs
+++ b/crates/hemlockhitch_routing/tests/catalogue.rs
@@ -31,8 +31,7 @@
     };
     Catalogue::new(3)
         .organisation(organisation, ["key-1".to_owned(), "key-2".to_owned()])
-        .route(route("short", "/a/"))
-        .route(route("long", "/a/b/"))
+        .routes([route("short", "/a/"), route("long", "/a/b/")])
 }
 
 #[test]
