Keep prompts in their data centre

Change: another data centre costs as much as ten running requests, and a subject maps to an endpoint of the node's own one.

--- a/crates/hemlockhitch_routing/src/place/score.rs
+++ b/crates/hemlockhitch_routing/src/place/score.rs
@@ -1,6 +1,6 @@
 //! Compares endpoints by the work ahead of a request, in prompt tokens.
 
-use hemlockhitch_model::{EndpointKey, Key, Now};
+use hemlockhitch_model::{DataCentreName, EndpointKey, Key, Now};
 
 use super::{Demand, Prompt};
 use crate::fleet::Endpoint;
@@ -16,7 +16,7 @@
 const FULL_TOKENS: f64 = 100_000.0;
 
 /// What another data centre costs: the bytes between them have a price.
-const AWAY_TOKENS: f64 = 600.0;
+const AWAY_TOKENS: f64 = 4_000.0;
 
 /// What an endpoint costs that failed each of its latest requests.
 const FAILING_TOKENS: f64 = 20_000.0;
@@ -44,7 +44,7 @@
     let choices: Vec<_> = choices.collect();
     let mapped = demand
         .prompt
-        .and_then(|prompt| mapped_endpoint(&choices, &prompt));
+        .and_then(|prompt| mapped_endpoint(&choices, &prompt, demand.home));
     choices
         .iter()
         .map(|(key, endpoint)| {
@@ -107,6 +107,7 @@
 fn mapped_endpoint(
     choices: &[(EndpointKey, &Endpoint)],
     prompt: &Prompt<'_>,
+    home: &DataCentreName,
 ) -> Option<EndpointKey> {
     let (_, shared) = prompt.parts.split_last()?;
     let subject = mix(shared.last()?.id, prompt.model_hash);
