Ask larger models by predicted lateness, and share loads in a data centre

Larger models were asked freely up to a pressure at which they were late themselves. A node of 58 sees a sixtieth of an endpoint's load.

--- a/crates/hemlockhitch_gateway/src/attempt/job.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/job.rs
@@ -16,6 +16,9 @@
 /// Endpoints that may turn out to be unreachable before a request is given up.
 const UNREACHED_MOST: u32 = 4;
 
+/// Work of an answer beside its prompt, as prompt tokens that take as long.
+const FIXED_TOKENS: u64 = 3_000;
+
 /// A request that was admitted.
 #[derive(Debug)]
 pub(super) struct Job<D: Dialect, C: Clock> {
@@ -81,6 +84,17 @@
         self.time_ms.saturating_sub(passed_ms)
     }
 
+    /// Returns how much time is left until its objective, in milliseconds.
+    pub(super) fn left_to_objective_ms(&self, now: Now) -> u64 {
+        let passed_ms = now.mono_ms.saturating_sub(self.arrived.mono_ms);
+        self.route.objective_ms.saturating_sub(passed_ms)
+    }
+
+    /// Returns the work before an answer or its first event, in prompt tokens.
+    pub(super) fn work(&self) -> u64 {
+        FIXED_TOKENS + self.terms.prompt_tokens
+    }
+
     /// Returns the request's rank; 0 goes first.
     pub(super) fn rank(&self) -> u8 {
         let of_organisation = self.organisation.as_ref().and_then(|caller| caller.rank);
--- a/crates/hemlockhitch_gateway/src/attempt/place.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/place.rs
@@ -12,9 +12,6 @@
 use crate::dialect::Dialect;
 use crate::state::{Shared, State};
 
-/// Work of an answer beside its prompt, as prompt tokens that take as long.
-const FIXED_TOKENS: u64 = 3_000;
-
 /// A place at an endpoint; it is free again when it is dropped.
 #[derive(Debug)]
 pub(super) struct Place<D: Dialect, C: Clock> {
@@ -100,7 +97,7 @@
         let now = self.shared.now();
         let seen = Observation {
             kind_hash: mix(hash_bytes(&job.route.name), self.model_hash),
-            work: FIXED_TOKENS + job.terms.prompt_tokens,
+            work: job.work(),
             of_target: false,
             failed: sign == Sign::Bad,
             took_ms: now.mono_ms.saturating_sub(self.taken_mono_ms),
--- a/crates/hemlockhitch_gateway/src/attempt/relay.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/relay.rs
@@ -62,7 +62,6 @@
 
 impl<D: Dialect, C: Clock> Relay<D, C> {
     async fn run(mut self, stream: OpenStream<D, C>) {
-        self.note_first_event(&stream);
         let deadline = self.job.deadline;
         let request = self.job.terms.request.clone();
         let route = self.job.route.name.clone();
@@ -150,11 +149,4 @@
             Ok(Opened::Whole(_)) | Err(_) => None,
         }
     }
-
-    fn note_first_event(&self, stream: &OpenStream<D, C>) {
-        let first_event_ms = stream.place.held_ms();
-        let mut state = self.gateway.shared.state();
-        let pressure = state.pressure.entry(self.job.service.clone()).or_default();
-        pressure.note(first_event_ms, self.job.route.objective_ms);
-    }
 }
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -5,7 +5,7 @@
 use hemlockhitch_model::Clock;
 use hemlockhitch_routing::fleet::Sign;
 use hemlockhitch_routing::judge::{Final, Seen, Verdict, judge};
-use hemlockhitch_routing::size::next_size;
+use hemlockhitch_routing::size::{Doubt, FirstEvent, next_size};
 use hemlockhitch_routing::suspect::CRASHES_MOST;
 use http::{Response, StatusCode};
 use tokio::time::timeout_at;
@@ -93,7 +93,10 @@
                 Ok(good) => {
                     log.under_way = false;
                     match (&good.opened, &place) {
-                        (Opened::Stream(stream), _) => stream.place.note(Sign::Good, job),
+                        (Opened::Stream(stream), _) => {
+                            stream.place.note(Sign::Good, job);
+                            self.note_first_event(job, log, stream.place.held_ms());
+                        }
                         (Opened::Whole(_), Some(place)) => place.note(Sign::Good, job),
                         (Opened::Whole(_), None) => {}
                     }
@@ -167,13 +170,15 @@
         }
         let now = self.shared.now();
         let state = self.shared.state();
-        let pressure = state
-            .pressure
-            .get(&job.service)
-            .copied()
-            .unwrap_or_default();
-        let sizes = job.route.sizes.len();
-        let larger = next_size(log.size, sizes, good.confidence_percent, pressure)?;
+        let pressure = state.pressure.get(&job.service)?;
+        let doubt = Doubt {
+            size: log.size,
+            sizes: job.route.sizes.len(),
+            confidence_percent: good.confidence_percent,
+            work: job.work(),
+            left_ms: job.left_to_objective_ms(now),
+        };
+        let larger = next_size(doubt, pressure)?;
         let settings = self.shared.settings().repeats;
         let used_ratio = state.repeats.get(&job.service).map_or(0.0, |repeats| {
             repeats.used_ratio(settings, state.node_count(), now)
@@ -181,6 +186,17 @@
         (used_ratio < LARGER_MODELS_RATIO).then_some(larger)
     }
 
+    fn note_first_event(&self, job: &Job<D, C>, log: &Log, took_ms: u64) {
+        let mut state = self.shared.state();
+        let pressure = state.pressure.entry(job.service.clone()).or_default();
+        pressure.note(FirstEvent {
+            size: log.size,
+            work: job.work(),
+            took_ms,
+            objective_ms: job.route.objective_ms,
+        });
+    }
+
     fn note_bad(&self, job: &Job<D, C>, place: &Place<D, C>, bad: &Bad) {
         match bad.seen {
             Seen::NotSent | Seen::Silent => place.note(Sign::Unreachable, job),
--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -14,8 +14,9 @@
 use tokio::time::sleep;
 
 use crate::dialect::Dialect;
-use crate::peer::FeedClients;
+use crate::peer::{FeedClients, write_loads};
 use crate::state::Shared;
+use crate::wire;
 use source::{Source, Sources};
 
 /// Every key: one watch for all that a node follows.
@@ -41,11 +42,17 @@
         let source = sources.choose(&shared.state().nodes, &settings, sent);
         let (result, age_ms) = match &source {
             Source::Peer(address) if revision > 0 => {
-                match clients
-                    .follow(address, revision, settings.peer_watch_ms)
-                    .await
-                {
-                    Ok((batch, age_ms)) => (Ok(batch), age_ms),
+                let request = wire::FollowRequest {
+                    revision,
+                    wait_ms: settings.peer_watch_ms,
+                    node: settings.node.to_string(),
+                    loads: write_loads(&shared.own_loads()),
+                };
+                match clients.follow(address, request).await {
+                    Ok(answer) => {
+                        shared.note_others(&answer.loads);
+                        (Ok(answer.batch), answer.age_ms)
+                    }
                     Err(error) => {
                         tracing::debug!(event = "HH1261", %error, "other node not followed");
                         sources.avoid(address, shared.now());
--- a/crates/hemlockhitch_gateway/src/peer/client.rs
+++ b/crates/hemlockhitch_gateway/src/peer/client.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout;
 use tonic::transport::{Channel, Endpoint};
 
+use super::Loads;
 use crate::wire;
 use crate::wire::feed_client::FeedClient;
 
@@ -29,6 +30,17 @@
     detail: String,
 }
 
+/// What another node told.
+#[derive(Debug)]
+pub(crate) struct FeedAnswer {
+    /// What changed.
+    pub(crate) batch: WatchBatch,
+    /// The age of the node's knowledge when it answered, in milliseconds.
+    pub(crate) age_ms: u64,
+    /// What the other nodes of the data centre have at its endpoints.
+    pub(crate) loads: Loads,
+}
+
 /// Connections to the nodes that were asked.
 #[derive(Debug, Default)]
 pub(crate) struct FeedClients {
@@ -36,15 +48,13 @@
 }
 
 impl FeedClients {
-    /// Asks a node for what changed after a revision; returns it with the age of the
-    /// node's knowledge when it answered, in milliseconds.
+    /// Asks a node for what changed after a revision.
     pub(crate) async fn follow(
         &mut self,
         address: &str,
-        revision: u64,
-        wait_ms: u64,
-    ) -> Result<(WatchBatch, u64), FeedError> {
-        let result = self.ask(address, revision, wait_ms).await;
+        request: wire::FollowRequest,
+    ) -> Result<FeedAnswer, FeedError> {
+        let result = self.ask(address, request).await;
         if result.is_err() {
             self.channels.remove(address);
         }
@@ -57,15 +67,13 @@
     async fn ask(
         &mut self,
         address: &str,
-        revision: u64,
-        wait_ms: u64,
-    ) -> Result<(WatchBatch, u64), String> {
+        request: wire::FollowRequest,
+    ) -> Result<FeedAnswer, String> {
         let channel = self.channel(address)?;
         let mut client = FeedClient::new(channel).max_decoding_message_size(ANSWER_BYTES_MOST);
-        let request = wire::FollowRequest { revision, wait_ms };
-        let limit = LIMIT + Duration::from_millis(wait_ms);
+        let limit = LIMIT + Duration::from_millis(request.wait_ms);
         match timeout(limit, client.follow(request)).await {
-            Ok(Ok(reply)) => Ok(batch(reply.into_inner())),
+            Ok(Ok(reply)) => Ok(answer(reply.into_inner())),
             Ok(Err(status)) => Err(status.message().to_owned()),
             Err(_) => Err("no answer in time".to_owned()),
         }
@@ -86,17 +94,20 @@
     }
 }
 
-fn batch(reply: wire::FollowReply) -> (WatchBatch, u64) {
+fn answer(reply: wire::FollowReply) -> FeedAnswer {
     let written = reply.written.into_iter().map(|entry| Entry {
         key: entry.key,
         value: entry.value,
         version: entry.version,
     });
-    let batch = WatchBatch {
-        written: written.collect(),
-        deleted: reply.deleted,
-        complete: reply.complete,
-        revision: reply.revision,
-    };
-    (batch, reply.age_ms)
+    FeedAnswer {
+        batch: WatchBatch {
+            written: written.collect(),
+            deleted: reply.deleted,
+            complete: reply.complete,
+            revision: reply.revision,
+        },
+        age_ms: reply.age_ms,
+        loads: super::server::read_loads(reply.loads),
+    }
 }
--- a/crates/hemlockhitch_gateway/src/peer/mod.rs
+++ b/crates/hemlockhitch_gateway/src/peer/mod.rs
@@ -2,9 +2,12 @@
 //! centre, so that calls of the store grow with data centres and not with nodes.
 
 mod client;
+mod loads;
 mod mirror;
 mod server;
 
 pub(crate) use client::FeedClients;
+pub(crate) use loads::{LoadTable, Loads};
 pub(crate) use mirror::Mirror;
 pub use server::serve_feed;
+pub(crate) use server::write_loads;
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -6,6 +6,7 @@
 
 use hemlockhitch_model::Clock;
 use hemlockhitch_ports::key_value::WatchBatch;
+use hemlockhitch_routing::fleet::Sent;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
 use hyper_util::service::TowerToHyperService;
@@ -13,6 +14,7 @@
 use tokio::time::{sleep, timeout};
 use tonic::{Request, Response, Status};
 
+use super::Loads;
 use crate::connection;
 use crate::dialect::Dialect;
 use crate::state::Shared;
@@ -82,7 +84,9 @@
         &self,
         request: Request<wire::FollowRequest>,
     ) -> Result<Response<wire::FollowReply>, Status> {
-        let request = request.into_inner();
+        let mut request = request.into_inner();
+        let loads = read_loads(std::mem::take(&mut request.loads));
+        self.shared.put_loads(&request.node, loads);
         let wait = Duration::from_millis(request.wait_ms.min(WAIT_MOST_MS));
         let mut revisions = self.shared.revisions();
         let newer = revisions.wait_for(|revision| *revision > request.revision);
@@ -95,11 +99,12 @@
             return Err(Status::unavailable("the node does not know the store yet"));
         };
         let batch = self.shared.mirror().since(request.revision);
-        Ok(Response::new(reply(batch, age_ms)))
+        let loads = self.shared.loads_without(&request.node);
+        Ok(Response::new(reply(batch, age_ms, &loads)))
     }
 }
 
-fn reply(batch: WatchBatch, age_ms: u64) -> wire::FollowReply {
+fn reply(batch: WatchBatch, age_ms: u64, loads: &Loads) -> wire::FollowReply {
     let written = batch.written.into_iter().map(|entry| wire::StoredEntry {
         key: entry.key,
         value: entry.value,
@@ -111,5 +116,30 @@
         written: written.collect(),
         deleted: batch.deleted,
         age_ms,
+        loads: write_loads(loads),
     }
 }
+
+/// Writes what nodes have at endpoints.
+pub(crate) fn write_loads(loads: &Loads) -> Vec<wire::EndpointLoad> {
+    let loads = loads
+        .iter()
+        .map(|(endpoint_hash, sent)| wire::EndpointLoad {
+            endpoint_hash: *endpoint_hash,
+            requests: sent.requests,
+            unread_tokens: u32::try_from(sent.unread_tokens).unwrap_or(u32::MAX),
+        });
+    loads.collect()
+}
+
+/// Reads what nodes have at endpoints.
+pub(super) fn read_loads(loads: Vec<wire::EndpointLoad>) -> Loads {
+    let loads = loads.into_iter().map(|load| {
+        let sent = Sent {
+            requests: load.requests,
+            unread_tokens: load.unread_tokens.into(),
+        };
+        (load.endpoint_hash, sent)
+    });
+    loads.collect()
+}
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::connection::Connections;
 use crate::dialect::Dialect;
-use crate::peer::Mirror;
+use crate::peer::{LoadTable, Loads, Mirror};
 use crate::presence::NodeRecord;
 use crate::settings::GatewaySettings;
 use crate::steward::StageRecord;
@@ -137,6 +137,7 @@
 struct Parts<D, C> {
     state: Mutex<State>,
     mirror: Mutex<Mirror>,
+    loads: Mutex<LoadTable>,
     revisions: watch::Sender<u64>,
     connections: Connections,
     dialect: D,
@@ -160,6 +161,7 @@
             parts: Arc::new(Parts {
                 state: Mutex::new(State::new(&settings)),
                 mirror: Mutex::default(),
+                loads: Mutex::default(),
                 revisions: watch::Sender::new(0),
                 connections: Connections::default(),
                 dialect,
@@ -201,6 +203,48 @@
         mirror.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes in what a node that follows this one has at endpoints, and what that
+    /// means for this one.
+    pub(crate) fn put_loads(&self, node: &str, loads: Loads) {
+        let now = self.now();
+        let settings = self.settings();
+        let mut table = self.lock_loads();
+        table.put(node, loads, now);
+        let others = table.without(settings.node.as_str(), now);
+        drop(table);
+        self.note_others(&others);
+    }
+
+    /// Takes in what the other nodes of the data centre have at its endpoints.
+    pub(crate) fn note_others(&self, others: &Loads) {
+        let of_endpoint = |hash| others.get(&hash).copied().unwrap_or_default();
+        let data_centre = &self.settings().data_centre;
+        let mut state = self.state();
+        state
+            .fleet
+            .note_others(data_centre, of_endpoint, self.now());
+    }
+
+    /// Returns what this node has at endpoints of its data centre.
+    pub(crate) fn own_loads(&self) -> Loads {
+        let data_centre = &self.settings().data_centre;
+        self.state().fleet.sent(data_centre).collect()
+    }
+
+    /// Returns what this node and those that follow it have at endpoints, but for one.
+    pub(crate) fn loads_without(&self, node: &str) -> Loads {
+        let now = self.now();
+        let own = self.own_loads();
+        let mut table = self.lock_loads();
+        table.put(self.settings().node.as_str(), own, now);
+        table.without(node, now)
+    }
+
+    fn lock_loads(&self) -> MutexGuard<'_, LoadTable> {
+        let loads = self.parts.loads.lock();
+        loads.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tells those who follow this node up to which revision it knows the store.
     pub(crate) fn publish_revision(&self) {
         let revision = self.mirror().revision();
--- a/crates/hemlockhitch_routing/src/fleet/endpoint.rs
+++ b/crates/hemlockhitch_routing/src/fleet/endpoint.rs
@@ -6,6 +6,7 @@
 
 use super::{EndpointEntry, Health};
 use crate::allowance::Pace;
+use crate::hash::hash_bytes;
 
 /// Time in which a report loses half of its weight, in milliseconds: about the
 /// time that a short generation takes.
@@ -25,6 +26,15 @@
     pub slots: u32,
 }
 
+/// Requests that one or several nodes have at an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sent {
+    /// Requests that were sent and are not answered.
+    pub requests: u32,
+    /// Prompt tokens of those that no event was received of.
+    pub unread_tokens: u64,
+}
+
 /// One endpoint as a node sees it.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -38,8 +48,11 @@
     pub unread_tokens: u64,
     /// This node's requests to it while it is cold.
     pub cold_pace: Pace,
+    /// A hash of its name, the same on every node.
+    pub name_hash: u64,
     cold_until_mono_ms: u64,
     load: Option<(Load, Now)>,
+    others: Option<(Sent, Now)>,
     parts: HashMap<(u64, u64), u64>,
 }
 
@@ -47,12 +60,14 @@
     pub(super) fn new(entry: EndpointEntry, now: Now) -> Self {
         Self {
             cold_until_mono_ms: now.mono_ms + entry.cold_left_ms,
+            name_hash: hash_bytes(entry.name.as_str()),
             entry,
             health: Health::default(),
             in_flight: 0,
             unread_tokens: 0,
             cold_pace: Pace::default(),
             load: None,
+            others: None,
             parts: HashMap::new(),
         }
     }
@@ -89,16 +104,42 @@
         f64::from(load.waiting) * report_weight(at, now)
     }
 
-    /// Estimates the requests at the endpoint: this node's own, and those of others
-    /// as far as the report is fresh.
+    /// Returns what this node has at the endpoint.
+    #[must_use]
+    pub fn sent(&self) -> Sent {
+        Sent {
+            requests: self.in_flight,
+            unread_tokens: self.unread_tokens,
+        }
+    }
+
+    /// Takes in what the other nodes have at the endpoint.
+    pub fn note_others(&mut self, sent: Sent, now: Now) {
+        self.others = Some((sent, now));
+    }
+
+    /// Estimates the requests at the endpoint: this node's own, and those of others as
+    /// far as their word or the endpoint's report is fresh.
     #[must_use]
     pub fn requests(&self, now: Now) -> f64 {
         let own = f64::from(self.in_flight);
-        let Some((load, at)) = self.load else {
-            return own;
-        };
-        let reported = f64::from(load.running + load.waiting);
-        own + (reported - own).max(0.0) * report_weight(at, now)
+        let reported = self.load.map_or(0.0, |(load, at)| {
+            let reported = f64::from(load.running + load.waiting);
+            (reported - own).max(0.0) * report_weight(at, now)
+        });
+        let told = self.others.map_or(0.0, |(sent, at)| {
+            f64::from(sent.requests) * report_weight(at, now)
+        });
+        own + reported.max(told)
+    }
+
+    /// Estimates the prompt tokens at the endpoint that it has not read.
+    #[must_use]
+    pub fn all_unread_tokens(&self, now: Now) -> f64 {
+        let told = self.others.map_or(0.0, |(sent, at)| {
+            as_f64(sent.unread_tokens) * report_weight(at, now)
+        });
+        as_f64(self.unread_tokens) + told
     }
 
     /// Returns the part of its slots that is probably taken.
@@ -128,7 +169,11 @@
 }
 
 fn report_weight(at: Now, now: Now) -> f64 {
-    #[allow(clippy::cast_precision_loss)]
-    let age_ms = now.mono_ms.saturating_sub(at.mono_ms) as f64;
-    (-age_ms / REPORT_HALF_LIFE_MS).exp2()
+    let age_ms = now.mono_ms.saturating_sub(at.mono_ms);
+    (-as_f64(age_ms) / REPORT_HALF_LIFE_MS).exp2()
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn as_f64(count: u64) -> f64 {
+    count as f64
 }
--- a/crates/hemlockhitch_routing/src/fleet/mod.rs
+++ b/crates/hemlockhitch_routing/src/fleet/mod.rs
@@ -4,7 +4,7 @@
 mod entry;
 mod health;
 
-pub use endpoint::{Endpoint, Load};
+pub use endpoint::{Endpoint, Load, Sent};
 pub use entry::EndpointEntry;
 pub use health::{Health, Sign};
 
@@ -93,6 +93,31 @@
         })
     }
 
+    /// Returns what this node has at endpoints of a data centre, by a hash of their
+    /// names.
+    pub fn sent(&self, data_centre: &DataCentreName) -> impl Iterator<Item = (u64, Sent)> {
+        let endpoints = self.endpoints.values();
+        let used = endpoints.filter(move |endpoint| {
+            endpoint.in_flight > 0 && endpoint.entry.data_centre == *data_centre
+        });
+        used.map(|endpoint| (endpoint.name_hash, endpoint.sent()))
+    }
+
+    /// Takes in what the other nodes have at the endpoints of a data centre, by a hash
+    /// of their names.
+    pub fn note_others(
+        &mut self,
+        data_centre: &DataCentreName,
+        others: impl Fn(u64) -> Sent,
+        now: Now,
+    ) {
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.entry.data_centre == *data_centre {
+                endpoint.note_others(others(endpoint.name_hash), now);
+            }
+        }
+    }
+
     /// Returns the number of endpoints.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/hemlockhitch_routing/src/place/mod.rs
+++ b/crates/hemlockhitch_routing/src/place/mod.rs
@@ -10,7 +10,6 @@
 
 use crate::allowance::ColdRate;
 use crate::fleet::{Endpoint, Fleet};
-use crate::hash::hash_bytes;
 
 /// A part of a prompt that requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,7 +108,7 @@
 
 fn allows_cold(demand: &Demand<'_>, endpoint: &Endpoint, now: Now) -> bool {
     demand.cold.is_none_or(|cold| {
-        let part_per_s = cold.part_per_s(hash_bytes(endpoint.entry.name.as_str()));
+        let part_per_s = cold.part_per_s(endpoint.name_hash);
         endpoint.cold_pace.allows(part_per_s, now)
     })
 }
--- a/crates/hemlockhitch_routing/src/place/score.rs
+++ b/crates/hemlockhitch_routing/src/place/score.rs
@@ -1,10 +1,10 @@
 //! Compares endpoints by the work ahead of a request, in prompt tokens.
 
-use hemlockhitch_model::{DataCentreName, EndpointKey, Key, Now};
+use hemlockhitch_model::{EndpointKey, Key, Now};
 
 use super::{Demand, Prompt};
 use crate::fleet::Endpoint;
-use crate::hash::{hash_bytes, mix};
+use crate::hash::mix;
 
 /// What a running request costs the next one, as prompt tokens that take as long.
 const RUNNING_TOKENS: f64 = 400.0;
@@ -44,7 +44,7 @@
     let choices: Vec<_> = choices.collect();
     let mapped = demand
         .prompt
-        .and_then(|prompt| mapped_endpoint(&choices, &prompt, demand.home));
+        .and_then(|prompt| mapped_endpoint(&choices, &prompt));
     choices
         .iter()
         .map(|(key, endpoint)| {
@@ -77,7 +77,7 @@
     common
         + away
         + unread.max(0.0)
-        + as_f64(endpoint.unread_tokens)
+        + endpoint.all_unread_tokens(now)
         + endpoint.requests(now) * RUNNING_TOKENS
         + endpoint.waiting(now) * WAITING_TOKENS
 }
@@ -107,11 +107,10 @@
 fn mapped_endpoint(
     choices: &[(EndpointKey, &Endpoint)],
     prompt: &Prompt<'_>,
-    home: &DataCentreName,
 ) -> Option<EndpointKey> {
     let (_, shared) = prompt.parts.split_last()?;
     let subject = mix(shared.last()?.id, prompt.model_hash);
-    let weight = |endpoint: &Endpoint| mix(hash_bytes(endpoint.entry.name.as_str()), subject);
+    let weight = |endpoint: &Endpoint| mix(endpoint.name_hash, subject);
     let (key, _) = choices
         .iter()
         .max_by_key(|(_, endpoint)| weight(endpoint))?;
