Give a doubtful version no more requests, and compare slowness beside the others

Change: slowness counts from an eighth of the objective beside the others' answers, and from three times that without them; chance is taken off the joint evidence by the usual share of failures; a version in doubt is not given the next part of the requests.

--- a/crates/hemlockhitch_gateway/src/attempt/place.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/place.rs
@@ -12,6 +12,18 @@
 use crate::dialect::Dialect;
 use crate::state::{Shared, State};
 
+/// Part of its objective within which an answer is never slow: several times what an
+/// unloaded endpoint takes.
+const IN_TIME_DIVISOR: u64 = 8;
+
+/// Events from which the pace of a stream is compared; the pace of fewer is that of
+/// one pause.
+const COMPARED_EVENTS: u64 = 3;
+
+/// Time within which the events of a stream are never slow, in milliseconds: several
+/// pauses for prompts that are read between them.
+const EVENTS_IN_TIME_MS: u64 = 150;
+
 /// A place at an endpoint; it is free again when it is dropped.
 #[derive(Debug)]
 pub(super) struct Place<D: Dialect, C: Clock> {
@@ -101,6 +113,7 @@
             of_target: false,
             failed: sign == Sign::Bad,
             took_ms: now.mono_ms.saturating_sub(self.taken_mono_ms),
+            in_time_ms: job.route.objective_ms / IN_TIME_DIVISOR,
         };
         self.note_version(seen, job, now);
     }
@@ -108,6 +121,9 @@
     /// Takes in how long a stream of this many events took after its first one.
     pub(super) fn note_events(&self, events: u64, job: &Job<D, C>) {
         self.note_health(Sign::Good);
+        if events < COMPARED_EVENTS {
+            return;
+        }
         let now = self.shared.now();
         let seen = Observation {
             kind_hash: mix(hash_bytes(&job.route.name), !self.model_hash),
@@ -115,6 +131,7 @@
             of_target: false,
             failed: false,
             took_ms: now.mono_ms.saturating_sub(self.read_mono_ms),
+            in_time_ms: EVENTS_IN_TIME_MS,
         };
         self.note_version(seen, job, now);
     }
--- a/crates/hemlockhitch_routing/src/roll_out/evidence.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/evidence.rs
@@ -18,8 +18,14 @@
 const BAD_LOG: f64 = 8.3;
 
 /// Added to that for each node whose evidence counts, as chance alone gives each of
-/// them some.
-const BAD_LOG_PER_NODE: f64 = 2.0;
+/// them some, and more the more often the others fail.
+const CHANCE_LOG: f64 = 0.6;
+
+/// How much is added for the share of failures that is usual.
+const CHANCE_LOG_PER_RATIO: f64 = 20.0;
+
+/// The evidence from which a version gets no more requests until it is less.
+const DOUBT_LOG: f64 = 4.0;
 
 /// Change of its evidence from which a node tells it to the others.
 const SHARED_STEP_LOG: f64 = 1.5;
@@ -37,7 +43,11 @@
 
 /// The same when the others have not answered lately: the load may have changed
 /// since.
-const SLOW_ALONE_FACTOR: f64 = 6.0;
+const SLOW_ALONE_FACTOR: f64 = 8.0;
+
+/// How many times as long an answer is never slow then: a version that has just got
+/// all requests reads prompts which the others had in their caches.
+const ALONE_IN_TIME: u64 = 3;
 
 /// For how long an answer of the others is compared with, in milliseconds.
 const COMPARED_MS: u64 = 2_000;
@@ -58,6 +68,8 @@
     pub failed: bool,
     /// The time that the work took, in milliseconds.
     pub took_ms: u64,
+    /// Up to what time the work is never slow beside the others', in milliseconds.
+    pub in_time_ms: u64,
 }
 
 impl Observation {
@@ -118,8 +130,7 @@
     }
 
     fn note_target(&mut self, seen: Observation, now: Now) {
-        let usual = (self.others_failed + PRIOR_FAILED) / (self.others_answers + PRIOR_ANSWERS);
-        let usual = usual.clamp(USUAL_LEAST, 0.7);
+        let usual = self.usual_ratio();
         let worse = usual + WORSE_BY;
         if seen.failed || self.is_slow(seen, now) {
             self.bad += 1;
@@ -136,12 +147,12 @@
             return false;
         };
         let compared = now.mono_ms.saturating_sub(usual.last_mono_ms) <= COMPARED_MS;
-        let factor = if compared {
-            SLOW_FACTOR
+        let (factor, in_time_ms) = if compared {
+            (SLOW_FACTOR, seen.in_time_ms)
         } else {
-            SLOW_ALONE_FACTOR
+            (SLOW_ALONE_FACTOR, ALONE_IN_TIME * seen.in_time_ms)
         };
-        seen.ms_per_unit() > factor * usual.ms_per_unit
+        seen.took_ms > in_time_ms && seen.ms_per_unit() > factor * usual.ms_per_unit
     }
 
     /// Returns how many good answers the new version gave.
@@ -177,9 +188,26 @@
     /// evidence or by that of all.
     #[must_use]
     pub fn is_bad(&self) -> bool {
+        self.log_ratio >= BAD_LOG || self.joint_log() >= BAD_LOG
+    }
+
+    /// Returns whether the new version may be worse than the others.
+    #[must_use]
+    pub fn is_doubtful(&self) -> bool {
+        self.log_ratio.max(self.joint_log()) >= DOUBT_LOG
+    }
+
+    /// Returns the evidence of all nodes, less what chance gives them.
+    fn joint_log(&self) -> f64 {
         #[allow(clippy::cast_precision_loss)]
         let nodes = self.peers.len() as f64 + 1.0;
-        let joint = self.log_ratio + self.peers.values().sum::<f64>();
-        self.log_ratio >= BAD_LOG || joint >= BAD_LOG + BAD_LOG_PER_NODE * nodes
+        let chance_log = CHANCE_LOG + CHANCE_LOG_PER_RATIO * self.usual_ratio();
+        self.log_ratio + self.peers.values().sum::<f64>() - chance_log * nodes
+    }
+
+    /// Returns the share of the others' answers that fail.
+    fn usual_ratio(&self) -> f64 {
+        let usual = (self.others_failed + PRIOR_FAILED) / (self.others_answers + PRIOR_ANSWERS);
+        usual.clamp(USUAL_LEAST, 0.7)
     }
 }
--- a/crates/hemlockhitch_routing/src/roll_out/mod.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/mod.rs
@@ -166,6 +166,7 @@
         let passed = now.mono_ms.saturating_sub(self.ordered_mono_ms) as f64
             / self.order.finish_ms.max(1) as f64;
         let proved = self.evidence.good() >= GOOD_LEAST || passed >= UNPROVED_AFTER;
+        let proved = proved && !self.evidence.is_doubtful();
         match self.stage {
             Stage::Trial if passed >= WIDE_AFTER && proved => Some(Stage::Wide),
             Stage::Wide if passed >= ALL_AFTER && proved => Some(Stage::All),
--- a/crates/hemlockhitch_routing/tests/roll_out.rs
+++ b/crates/hemlockhitch_routing/tests/roll_out.rs
@@ -92,6 +92,7 @@
             of_target: false,
             failed: rng.f64() < usual_failing_ratio,
             took_ms: 130,
+            in_time_ms: 500,
         };
         evidence.note(seen, at(0));
     }
@@ -123,6 +124,7 @@
             of_target,
             failed,
             took_ms,
+            in_time_ms: 500,
         },
         now,
     );
