Pause before a step of a roll-out is tried again

Change: after a step that the store does not take, the steward pauses as the follower of the store does. Before: outage_in_a_roll_out_costs_few_calls fails with 26 calls in four seconds.

--- a/crates/hemlockhitch_gateway/src/steward/mod.rs
+++ b/crates/hemlockhitch_gateway/src/steward/mod.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 
 use crate::dialect::Dialect;
+use crate::feed::Backoff;
 use crate::state::Shared;
 
 /// How often the steward looks for something to do: a fraction of the time in which
@@ -46,16 +47,13 @@
         due_mono_ms: HashMap::new(),
         asked_mono_ms: HashMap::new(),
     };
+    let mut backoff = Backoff::new();
     loop {
         sleep(INTERVAL).await;
-        if let Err(error) = pins::share(&steward.shared, &steward.store).await {
-            tracing::warn!(event = "HH1258", %error, "sessions under way not shared");
-        }
-        steward.share_suspicions().await;
-        for service in steward.services() {
-            if let Err(error) = steward.step(&service).await {
-                tracing::warn!(event = "HH1250", %service, %error, "step of a roll-out not stored");
-            }
+        if steward.act().await {
+            backoff.reset();
+        } else {
+            sleep(backoff.next()).await;
         }
     }
 }
@@ -71,6 +69,25 @@
 }
 
 impl<D: Dialect, C: Clock, S: KeyValue> Steward<D, C, S> {
+    /// Does what is to be done; returns whether the store took it.
+    async fn act(&mut self) -> bool {
+        if let Err(error) = pins::share(&self.shared, &self.store).await {
+            tracing::warn!(event = "HH1258", %error, "sessions under way not shared");
+            return false;
+        }
+        if let Err(error) = self.share_suspicions().await {
+            tracing::warn!(event = "HH1253", %error, "suspicion of a request not shared");
+            return false;
+        }
+        for service in self.services() {
+            if let Err(error) = self.step(&service).await {
+                tracing::warn!(event = "HH1250", %service, %error, "step of a roll-out not stored");
+                return false;
+            }
+        }
+        true
+    }
+
     fn services(&self) -> Vec<ServiceName> {
         self.shared.state().roll_outs.keys().cloned().collect()
     }
@@ -186,13 +203,12 @@
         Ok(())
     }
 
-    async fn share_suspicions(&self) {
+    async fn share_suspicions(&self) -> Result<(), KeyValueError> {
         let news = std::mem::take(&mut self.shared.state().suspect_news);
         for (fingerprint, crashes) in news {
-            if let Err(error) = self.share_suspicion(fingerprint, crashes).await {
-                tracing::warn!(event = "HH1253", %error, "suspicion of a request not shared");
-            }
+            self.share_suspicion(fingerprint, crashes).await?;
         }
+        Ok(())
     }
 
     async fn share_suspicion(&self, fingerprint: u64, crashes: u32) -> Result<(), KeyValueError> {
