Gather changes before the store is watched again

Ruled out: the roll-out's notes, which are a few hundred at most. Change: after a batch with changes the store is watched again 0.15 s later; bounds on what is in force are two seconds and more.

--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -9,6 +9,8 @@
 
 pub(crate) use backoff::Backoff;
 
+use std::time::Duration;
+
 use hemlockhitch_model::{Clock, Now};
 use hemlockhitch_ports::key_value::{Entry, KeyValue, WatchBatch};
 use tokio::time::sleep;
@@ -29,6 +31,10 @@
 /// milliseconds: more than two of its watches.
 const PEER_AGE_MOST_MS: u64 = 1_400;
 
+/// How long changes are gathered before the store is watched again: each call has a
+/// price, and changes come in groups.
+const GATHER: Duration = Duration::from_millis(150);
+
 /// Follows the store until the task is ended.
 pub async fn follow<D: Dialect, C: Clock>(shared: Shared<D, C>, store: impl KeyValue) {
     let mut follower = Follower::default();
@@ -77,7 +83,11 @@
                     mono_ms: sent.mono_ms.saturating_sub(age_ms),
                     ..sent
                 };
+                let changed = !batch.written.is_empty() || !batch.deleted.is_empty();
                 follower.take(&shared, batch, confirmed);
+                if changed && source == Source::Store {
+                    sleep(GATHER).await;
+                }
             }
             Err(error) => {
                 follower.lose(&shared, &error.to_string());
