--- a/crates/hemlockhitch/src/gateway/derived.rs
+++ b/crates/hemlockhitch/src/gateway/derived.rs
@@ -25,25 +25,23 @@
 
 pub(super) fn gateway(file: &GatewayFile) -> GatewaySettings {
     let bounds = &file.bounds;
-    GatewaySettings {
-        node: file.node.name.clone(),
-        data_centre: file.node.data_centre.clone(),
-        bearing: bearing(bounds.link_mbps, bounds.cores),
-        fresh_ms: bounds.revoke_ms.saturating_sub(REVOKE_MARGIN_MS),
-        watch_ms: WATCH_MS,
-        peer_watch_ms: PEER_WATCH_MS,
-        repeats: RepeatSettings {
-            per_request: bounds.repeat_ratio,
-            allowance: bounds.repeat_allowance,
-            window_ms: millis(bounds.repeat_window_s),
-        },
-        cold_factor: bounds.cold_factor,
-        cold_allowance: bounds.cold_allowance,
-        part_kept_ms: millis(bounds.part_kept_s),
-        session_ms: millis(bounds.session_s),
-        vanished_ms: VANISHED_MS,
-        in_flight: usize::try_from(bounds.in_flight).unwrap_or(usize::MAX),
-    }
+    let repeats = RepeatSettings {
+        per_request: bounds.repeat_ratio,
+        allowance: bounds.repeat_allowance,
+        window_ms: millis(bounds.repeat_window_s),
+    };
+    GatewaySettings::new(file.node.name.clone(), file.node.data_centre.clone())
+        .bearing(bearing(bounds.link_mbps, bounds.cores))
+        .fresh_ms(bounds.revoke_ms.saturating_sub(REVOKE_MARGIN_MS))
+        .watch_ms(WATCH_MS)
+        .peer_watch_ms(PEER_WATCH_MS)
+        .repeats(repeats)
+        .cold_factor(bounds.cold_factor)
+        .cold_allowance(bounds.cold_allowance)
+        .part_kept_ms(millis(bounds.part_kept_s))
+        .session_ms(millis(bounds.session_s))
+        .vanished_ms(VANISHED_MS)
+        .in_flight(usize::try_from(bounds.in_flight).unwrap_or(usize::MAX))
 }
 
 /// Returns how long the gateway may take to stop.
--- a/crates/hemlockhitch_gateway/src/settings.rs
+++ b/crates/hemlockhitch_gateway/src/settings.rs
@@ -36,3 +36,111 @@
     /// The most requests in hand at once.
     pub in_flight: usize,
 }
+
+impl GatewaySettings {
+    /// Creates the settings of a node with defaults for everything else.
+    #[must_use]
+    pub fn new(node: impl Into<NodeName>, data_centre: impl Into<DataCentreName>) -> Self {
+        Self {
+            node: node.into(),
+            data_centre: data_centre.into(),
+            repeats: RepeatSettings {
+                per_request: 0.2,
+                allowance: 20.0,
+                window_ms: 10_000,
+            },
+            bearing: 1_000,
+            fresh_ms: 4_850,
+            watch_ms: 400,
+            peer_watch_ms: 500,
+            cold_factor: 1.0,
+            cold_allowance: 0.0,
+            part_kept_ms: 10_000,
+            session_ms: 5_000,
+            vanished_ms: 2_200,
+            in_flight: 1_000,
+        }
+    }
+
+    /// Sets how much work for other nodes this one bears, beside theirs: the
+    /// smaller of its link in megabits a second and its processor in thousandths of
+    /// a core.
+    #[must_use]
+    pub fn bearing(mut self, bearing: u32) -> Self {
+        self.bearing = bearing;
+        self
+    }
+
+    /// Sets how old the configuration may be for a request with an API key, in
+    /// milliseconds.
+    #[must_use]
+    pub fn fresh_ms(mut self, fresh_ms: u64) -> Self {
+        self.fresh_ms = fresh_ms;
+        self
+    }
+
+    /// Sets how long a watch of the store waits, in milliseconds.
+    #[must_use]
+    pub fn watch_ms(mut self, watch_ms: u64) -> Self {
+        self.watch_ms = watch_ms;
+        self
+    }
+
+    /// Sets how long a call waits at a node that is followed, in milliseconds.
+    #[must_use]
+    pub fn peer_watch_ms(mut self, peer_watch_ms: u64) -> Self {
+        self.peer_watch_ms = peer_watch_ms;
+        self
+    }
+
+    /// Sets the budget of repeats of all nodes.
+    #[must_use]
+    pub fn repeats(mut self, repeats: RepeatSettings) -> Self {
+        self.repeats = repeats;
+        self
+    }
+
+    /// Sets by what factor a cold endpoint's rate may be passed by all nodes
+    /// together.
+    #[must_use]
+    pub fn cold_factor(mut self, cold_factor: f64) -> Self {
+        self.cold_factor = cold_factor;
+        self
+    }
+
+    /// Sets requests a second that a cold endpoint bears besides.
+    #[must_use]
+    pub fn cold_allowance(mut self, cold_allowance: f64) -> Self {
+        self.cold_allowance = cold_allowance;
+        self
+    }
+
+    /// Sets how long a prompt part stays in an endpoint's cache, in milliseconds.
+    #[must_use]
+    pub fn part_kept_ms(mut self, part_kept_ms: u64) -> Self {
+        self.part_kept_ms = part_kept_ms;
+        self
+    }
+
+    /// Sets how long a session keeps its version after a request, in milliseconds.
+    #[must_use]
+    pub fn session_ms(mut self, session_ms: u64) -> Self {
+        self.session_ms = session_ms;
+        self
+    }
+
+    /// Sets how long an endpoint that vanished during an outage of the store is
+    /// kept after its return, in milliseconds.
+    #[must_use]
+    pub fn vanished_ms(mut self, vanished_ms: u64) -> Self {
+        self.vanished_ms = vanished_ms;
+        self
+    }
+
+    /// Sets the most requests in hand at once.
+    #[must_use]
+    pub fn in_flight(mut self, in_flight: usize) -> Self {
+        self.in_flight = in_flight;
+        self
+    }
+}
