Fit the turns of nodes into an order's time; run once what may run once

Reading the loop once more: a stream that may not be resumed would have been sent to a larger model after a smaller one had run it. Change: a turn takes at most a four-hundredth of the order's time; larger models are asked only for work that may run again. Fields and functions that nothing used are gone.

--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -87,28 +87,12 @@
             log.sent += 1;
             log.under_way = true;
             let silence = silence(job, log);
-            let started = place.endpoint;
             let (result, place) = self.send(job, log, place, silence).await;
             match result {
                 Ok(good) => {
                     log.under_way = false;
-                    match (&good.opened, &place) {
-                        (Opened::Stream(stream), _) => {
-                            stream.place.note(Sign::Good, job);
-                            self.note_first_event(job, log, stream.place.held_ms());
-                        }
-                        (Opened::Whole(_), Some(place)) => place.note(Sign::Good, job),
-                        (Opened::Whole(_), None) => {}
-                    }
+                    self.note_good(job, log, &good, place.as_ref());
                     if let Some(larger) = self.larger_size(job, log, &good) {
-                        tracing::info!(
-                            event = "HH1223",
-                            request = job.terms.request,
-                            endpoint = ?started,
-                            confidence_percent = good.confidence_percent,
-                            size = larger,
-                            "a larger model is asked"
-                        );
                         log.size = larger;
                         log.may_have_run = true;
                         continue;
@@ -165,7 +149,8 @@
 
     /// Returns the larger size to ask instead of passing a good answer on.
     fn larger_size(&self, job: &Job<D, C>, log: &Log, good: &Good<D, C>) -> Option<usize> {
-        if log.relayed || log.sent >= job.route.endpoints_most {
+        let may_ask = job.route.work.may_run_again() && !log.relayed;
+        if !may_ask || log.sent >= job.route.endpoints_most {
             return None;
         }
         let now = self.shared.now();
@@ -183,7 +168,36 @@
         let used_ratio = state.repeats.get(&job.service).map_or(0.0, |repeats| {
             repeats.used_ratio(settings, state.node_count(), now)
         });
-        (used_ratio < LARGER_MODELS_RATIO).then_some(larger)
+        let within_budget = used_ratio < LARGER_MODELS_RATIO;
+        tracing::info!(
+            event = "HH1223",
+            request = job.terms.request,
+            endpoint = ?log.tried.last(),
+            confidence_percent = good.confidence_percent,
+            used_ratio,
+            within_budget,
+            size = larger,
+            "a larger model is wanted"
+        );
+        within_budget.then_some(larger)
+    }
+
+    /// Takes in what a good answer says of its endpoint.
+    fn note_good(
+        &self,
+        job: &Job<D, C>,
+        log: &Log,
+        good: &Good<D, C>,
+        place: Option<&Place<D, C>>,
+    ) {
+        match (&good.opened, place) {
+            (Opened::Stream(stream), _) => {
+                stream.place.note(Sign::Good, job);
+                self.note_first_event(job, log, stream.place.held_ms());
+            }
+            (Opened::Whole(_), Some(place)) => place.note(Sign::Good, job),
+            (Opened::Whole(_), None) => {}
+        }
     }
 
     fn note_first_event(&self, job: &Job<D, C>, log: &Log, took_ms: u64) {
--- a/crates/hemlockhitch_gateway/src/steward/mod.rs
+++ b/crates/hemlockhitch_gateway/src/steward/mod.rs
@@ -35,13 +35,17 @@
 /// Turns among which nodes are spread, so that one of them makes a step alone.
 const TURNS: u64 = 16;
 
-/// Length of a turn, in milliseconds: the store's answer and the watch of it.
-const TURN_MS: u64 = 120;
+/// Longest turn, in milliseconds: the store's answer and the watch of it.
+const TURN_MOST_MS: u64 = 120;
+
+/// The part of an order's time that a turn takes at most, as a divisor: all turns
+/// together leave the order in time.
+const TURN_OF_ORDER: u64 = 400;
 
 /// Acts on roll-outs and suspicions until the task is ended.
 pub async fn steer<D: Dialect, C: Clock>(shared: Shared<D, C>, store: impl KeyValue) {
     let mut steward = Steward {
-        turn_ms: turn_ms(shared.settings().node.as_str()),
+        turn: hemlockhitch_routing::hash_bytes(shared.settings().node.as_str()) % TURNS,
         shared,
         store,
         due_mono_ms: HashMap::new(),
@@ -61,7 +65,8 @@
 struct Steward<D, C, S> {
     shared: Shared<D, C>,
     store: S,
-    turn_ms: u64,
+    /// The place of this node among the turns.
+    turn: u64,
     /// From when this node may write a state that nobody has written yet.
     due_mono_ms: HashMap<(ServiceName, Stage), u64>,
     /// When endpoints were last asked whether they are idle.
@@ -124,13 +129,22 @@
     /// have then written, or are not there.
     fn is_due(&mut self, service: &ServiceName, stage: Stage) -> bool {
         let now_mono_ms = self.shared.now().mono_ms;
+        let turn_ms = self.turn * self.turn_length_ms(service);
         let due_mono_ms = self
             .due_mono_ms
             .entry((service.clone(), stage))
-            .or_insert(now_mono_ms + self.turn_ms);
+            .or_insert(now_mono_ms + turn_ms);
         now_mono_ms >= *due_mono_ms
     }
 
+    fn turn_length_ms(&self, service: &ServiceName) -> u64 {
+        let state = self.shared.state();
+        let roll_out = state.roll_outs.get(service);
+        roll_out.map_or(TURN_MOST_MS, |roll_out| {
+            (roll_out.order().finish_ms / TURN_OF_ORDER).min(TURN_MOST_MS)
+        })
+    }
+
     async fn write_stage(&self, service: &ServiceName, stage: Stage) -> Result<(), KeyValueError> {
         let Some((order, known)) = self.order_and_record(service) else {
             return Ok(());
@@ -238,7 +252,3 @@
         Stage::Trial
     }
 }
-
-fn turn_ms(node: &str) -> u64 {
-    hemlockhitch_routing::hash_bytes(node) % TURNS * TURN_MS
-}
--- a/crates/hemlockhitch_routing/src/catalogue/mod.rs
+++ b/crates/hemlockhitch_routing/src/catalogue/mod.rs
@@ -111,9 +111,4 @@
         let key = self.service_by_name.get(name)?;
         Some(&self.services[*key])
     }
-
-    /// Iterates over the services.
-    pub fn services(&self) -> impl Iterator<Item = &Service> {
-        self.services.iter().map(|(_, service)| service)
-    }
 }
--- a/crates/hemlockhitch_routing/src/catalogue/route.rs
+++ b/crates/hemlockhitch_routing/src/catalogue/route.rs
@@ -64,8 +64,6 @@
 pub struct Service {
     /// The service's name.
     pub name: ServiceName,
-    /// The most connections that one endpoint takes from all nodes together.
-    pub connections_most: u32,
     /// How fast a cold endpoint may be asked; `None` if it need not be spared.
     pub cold: Option<ColdPace>,
 }
@@ -73,8 +71,6 @@
 /// How fast a cold endpoint may be asked.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdPace {
-    /// How long an endpoint is cold after its start, in milliseconds.
-    pub cold_ms: u64,
     /// Requests a second that a cold endpoint bears from all nodes together.
     pub requests_per_s: f64,
 }
--- a/crates/hemlockhitch_routing/src/fleet/mod.rs
+++ b/crates/hemlockhitch_routing/src/fleet/mod.rs
@@ -57,12 +57,6 @@
         }
     }
 
-    /// Returns whether a data centre takes no new work.
-    #[must_use]
-    pub fn is_evacuated(&self, data_centre: &DataCentreName) -> bool {
-        self.evacuated.contains(data_centre)
-    }
-
     /// Returns an endpoint, unless it is gone.
     #[must_use]
     pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
--- a/crates/hemlockhitch_routing/src/roll_out/evidence.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/evidence.rs
@@ -94,7 +94,6 @@
     others_failed: f64,
     usual_pace: HashMap<u64, Pace>,
     good: u32,
-    bad: u32,
     log_ratio: f64,
     shared_log: f64,
     peers: HashMap<String, f64>,
@@ -133,7 +132,6 @@
         let usual = self.usual_ratio();
         let worse = usual + WORSE_BY;
         if seen.failed || self.is_slow(seen, now) {
-            self.bad += 1;
             self.log_ratio += (worse / usual).ln();
         } else {
             self.good += 1;
@@ -161,12 +159,6 @@
         self.good
     }
 
-    /// Returns how many bad answers the new version gave.
-    #[must_use]
-    pub fn bad(&self) -> u32 {
-        self.bad
-    }
-
     /// Takes in the evidence of another node.
     pub fn learn(&mut self, node: impl Into<String>, log_ratio: f64) {
         self.peers.insert(node.into(), log_ratio);
