Keep one copy of the hashes and of the reading of settings

Cause: reading the change once more: hemlockhitch_routing had written the hashes of hemlockhitch_policy again, and the settings of a gateway repeated how a file is read and its faults are collected. Change: both hashes stand in hemlockhitch_model; one function reads a file and one collects faults, for both kinds of settings.

--- a/crates/hemlockhitch_config/src/settings/gateway.rs
+++ b/crates/hemlockhitch_config/src/settings/gateway.rs
@@ -1,6 +1,5 @@
 //! Settings of a node that runs as a gateway on a platform.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -8,7 +7,6 @@
 
 use super::fault::SettingsError;
 use super::reader::Reader;
-use super::source::Source;
 use super::types::{LogSettings, NodeSettings};
 use super::{decimal, number, sections};
 
@@ -83,11 +81,7 @@
     ///
     /// Lists every fault of the file.
     pub fn read(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
-        let path = path.as_ref();
-        let file_name = path.display().to_string();
-        let text = fs::read_to_string(path)
-            .map_err(|error| SettingsError::unreadable(&file_name, &error))?;
-        Self::parse(&text, &file_name)
+        super::read_file(path.as_ref(), Self::parse)
     }
 
     /// Parses the text of a settings file; `file_name` is named in faults.
@@ -96,14 +90,7 @@
     ///
     /// Lists every fault of the text.
     pub fn parse(text: &str, file_name: &str) -> Result<Self, SettingsError> {
-        let (source, faults) = Source::parse(text);
-        let mut reader = Reader::new(source, faults);
-        let settings = read(&mut reader);
-        let faults = reader.finish();
-        match settings {
-            Some(settings) if faults.is_empty() => Ok(settings),
-            _ => Err(SettingsError::new(file_name, faults)),
-        }
+        super::parse(text, file_name, read)
     }
 }
 
--- a/crates/hemlockhitch_config/src/settings/mod.rs
+++ b/crates/hemlockhitch_config/src/settings/mod.rs
@@ -53,11 +53,7 @@
     ///
     /// Lists every fault of the file.
     pub fn read(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
-        let path = path.as_ref();
-        let file_name = path.display().to_string();
-        let text = fs::read_to_string(path)
-            .map_err(|error| SettingsError::unreadable(&file_name, &error))?;
-        Self::parse(&text, &file_name)
+        read_file(path.as_ref(), Self::parse)
     }
 
     /// Parses the text of a settings file; `file_name` is named in faults.
@@ -66,14 +62,7 @@
     ///
     /// Lists every fault of the text.
     pub fn parse(text: &str, file_name: &str) -> Result<Self, SettingsError> {
-        let (source, faults) = Source::parse(text);
-        let mut reader = Reader::new(source, faults);
-        let settings = sections::read(&mut reader);
-        let faults = reader.finish();
-        match settings {
-            Some(settings) if faults.is_empty() => Ok(settings),
-            _ => Err(SettingsError::new(file_name, faults)),
-        }
+        parse(text, file_name, sections::read)
     }
 
     /// Starts settings for a test or demonstration; every address is
@@ -83,3 +72,30 @@
         SettingsBuilder::new()
     }
 }
+
+/// Reads the text of a file and parses it.
+fn read_file<T>(
+    path: &Path,
+    parse: impl FnOnce(&str, &str) -> Result<T, SettingsError>,
+) -> Result<T, SettingsError> {
+    let file_name = path.display().to_string();
+    let text =
+        fs::read_to_string(path).map_err(|error| SettingsError::unreadable(&file_name, &error))?;
+    parse(&text, &file_name)
+}
+
+/// Reads sections from a text and collects every fault.
+fn parse<T>(
+    text: &str,
+    file_name: &str,
+    read: impl FnOnce(&mut Reader) -> Option<T>,
+) -> Result<T, SettingsError> {
+    let (source, faults) = Source::parse(text);
+    let mut reader = Reader::new(source, faults);
+    let settings = read(&mut reader);
+    let faults = reader.finish();
+    match settings {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => Err(SettingsError::new(file_name, faults)),
+    }
+}
--- a/crates/hemlockhitch_model/src/lib.rs
+++ b/crates/hemlockhitch_model/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod arena;
 mod class;
+mod hash;
 mod id;
 mod name;
 mod time;
@@ -22,6 +23,7 @@
     DataCentreKey, EndpointKey, ModelKey, OrganisationKey, RouteKey, ServiceKey, VersionKey,
 };
 pub use class::{Class, ParseClassError};
+pub use hash::{hash_bytes, mix};
 pub use id::{ChangeId, ParseIdError, RequestId};
 pub use name::{
     DataCentreName, EndpointName, ModelName, NodeName, OrganisationName, RegionName, ServiceName,
--- a/crates/hemlockhitch_policy/src/endpoint/mod.rs
+++ b/crates/hemlockhitch_policy/src/endpoint/mod.rs
@@ -4,7 +4,6 @@
 //! come first while they have room; otherwise the less loaded of two others in
 //! the node's data centre, then of two elsewhere.
 
-mod hash;
 mod load;
 mod pool;
 mod ring;
--- a/crates/hemlockhitch_policy/src/endpoint/pool.rs
+++ b/crates/hemlockhitch_policy/src/endpoint/pool.rs
@@ -1,9 +1,8 @@
 //! Choice among many endpoints by looking at a few.
 
 use hemlockhitch_config::RoutingTable;
-use hemlockhitch_model::{DataCentreKey, EndpointKey, Now};
+use hemlockhitch_model::{DataCentreKey, EndpointKey, Now, mix};
 
-use super::hash::mix;
 use super::ring::{Ring, draw_from};
 use super::score::{Rank, Scored, order_by_score};
 use super::{EndpointLoad, Placement};
--- a/crates/hemlockhitch_policy/src/endpoint/ring.rs
+++ b/crates/hemlockhitch_policy/src/endpoint/ring.rs
@@ -1,9 +1,7 @@
 //! A consistent hash ring.
 
 use hemlockhitch_config::RoutingTable;
-use hemlockhitch_model::EndpointKey;
-
-use super::hash::{mix, of_name};
+use hemlockhitch_model::{EndpointKey, hash_bytes, mix};
 
 /// Points of each endpoint on the ring.
 const POINTS: u64 = 64;
@@ -25,7 +23,7 @@
     pub(super) fn new(table: &RoutingTable, members: &[EndpointKey]) -> Self {
         let mut points = Vec::new();
         for key in members {
-            let name_hash = of_name(&table.endpoints[*key].row.name);
+            let name_hash = hash_bytes(table.endpoints[*key].row.name.as_str());
             points.extend((0..POINTS).map(|point| Point {
                 hash: mix(name_hash, point),
                 key: *key,
--- a/crates/hemlockhitch_policy/src/endpoint/score.rs
+++ b/crates/hemlockhitch_policy/src/endpoint/score.rs
@@ -1,9 +1,8 @@
 //! Compares endpoints by one number.
 
 use hemlockhitch_config::RoutingTable;
-use hemlockhitch_model::{EndpointKey, Key, Now};
+use hemlockhitch_model::{EndpointKey, Key, Now, mix};
 
-use super::hash::mix;
 use super::{EndpointLoad, Placement};
 
 /// The part of its limit from which an endpoint's queue would grow.
--- a/crates/hemlockhitch_routing/src/allowance/cold.rs
+++ b/crates/hemlockhitch_routing/src/allowance/cold.rs
@@ -1,6 +1,6 @@
 //! A node's part of the rate that a cold endpoint bears.
 
-use crate::hash::mix;
+use hemlockhitch_model::mix;
 
 /// The part of the rate that is given out, so that requests which arrive closer
 /// together than they were sent stay within it.
--- a/crates/hemlockhitch_routing/src/fleet/endpoint.rs
+++ b/crates/hemlockhitch_routing/src/fleet/endpoint.rs
@@ -6,7 +6,7 @@
 
 use super::{EndpointEntry, Health};
 use crate::allowance::Pace;
-use crate::hash::hash_bytes;
+use hemlockhitch_model::hash_bytes;
 
 /// Time in which a report loses half of its weight, in milliseconds: about the
 /// time that a short generation takes.
--- a/crates/hemlockhitch_routing/src/lib.rs
+++ b/crates/hemlockhitch_routing/src/lib.rs
@@ -22,9 +22,8 @@
 pub mod suspect;
 
 mod freshness;
-mod hash;
 mod sessions;
 
 pub use freshness::Freshness;
-pub use hash::{hash_bytes, mix};
+pub use hemlockhitch_model::{hash_bytes, mix};
 pub use sessions::Sessions;
--- a/crates/hemlockhitch_routing/src/place/score.rs
+++ b/crates/hemlockhitch_routing/src/place/score.rs
@@ -4,7 +4,7 @@
 
 use super::{Demand, Prompt};
 use crate::fleet::Endpoint;
-use crate::hash::mix;
+use hemlockhitch_model::mix;
 
 /// What a running request costs the next one, as prompt tokens that take as long.
 const RUNNING_TOKENS: f64 = 400.0;
--- a/crates/hemlockhitch_routing/src/roll_out/mod.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/mod.rs
@@ -14,8 +14,8 @@
 
 use hemlockhitch_model::{Now, VersionName};
 
-use crate::hash::{hash_bytes, mix};
 use crate::place::Wanted;
+use hemlockhitch_model::{hash_bytes, mix};
 
 /// Percent of the sessions in the first stage: below the part of all requests that
 /// a bad version may get.
