Learn a shard's owner from the node that is not it

Cause: news of an owner is told in a dozen messages. A node that was frozen, or cut off, meanwhile asked the former owner for ever: its answer to a call of the ledger named nobody, and the belief stayed. Holds at that node got 503 without end, which is what frozen_owner_does_nothing_on_a_lapsed_lease has shown twice. Ruled out: the lease (its loss clears what is held), the store's key (read back at each conflict). Change: an answer to a call of the ledger names the owner that the called node knows, as for slots; without newer news the node that should own the bucket is asked next. The failure tests print why a hold waits.

--- a/crates/hemlockhitch/tests/processes/failures/mod.rs
+++ b/crates/hemlockhitch/tests/processes/failures/mod.rs
@@ -6,6 +6,8 @@
 mod node;
 mod store;
 
+use std::cell::RefCell;
+
 use hemlockhitch_standin::caller::CallReply;
 use http::Method;
 use serde_json::json;
@@ -19,13 +21,22 @@
 };
 
 /// Sends a hold until it gets an answer other than a refusal that says when to
-/// come back; returns status and body.
+/// come back; returns status and body. Prints each new reason for a wait.
 async fn hold(fleet: &Fleet, node: usize, key: &str) -> (u16, String) {
+    let last_wait = RefCell::new(String::new());
     eventually("the hold ends", || async {
-        let reply = hold_once(fleet, node, key).await?;
-        let refusal = reply.refusal();
+        let reply = hold_once(fleet, node, key).await;
+        let refusal = reply.as_ref().and_then(CallReply::refusal);
         let come_back = refusal.is_some_and(|refusal| refusal.retry_after_ms.is_some());
-        (!come_back).then_some((reply.status, reply.body))
+        let wait = match reply {
+            Some(reply) if !come_back => return Some((reply.status, reply.body)),
+            Some(reply) => format!("{} {}", reply.status, reply.body),
+            None => "no answer".to_owned(),
+        };
+        if last_wait.replace(wait.clone()) != wait {
+            eprintln!("hold {key} at node {node} waits: {wait}");
+        }
+        None
     })
     .await
 }
--- a/crates/hemlockhitch_peer/src/gen/hemlockhitch.peer.rs
+++ b/crates/hemlockhitch_peer/src/gen/hemlockhitch.peer.rs
@@ -239,6 +239,9 @@
 pub struct LedgerReply {
     #[prost(bytes = "vec", tag = "1")]
     pub reply_json: ::prost::alloc::vec::Vec<u8>,
+    /// The owner as the called node knows it, when it is not the owner itself.
+    #[prost(message, optional, tag = "2")]
+    pub owner: ::core::option::Option<Owner>,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/crates/hemlockhitch_peer/src/ledger/mod.rs
+++ b/crates/hemlockhitch_peer/src/ledger/mod.rs
@@ -5,6 +5,7 @@
 use hemlockhitch_ledger::call::{LedgerCall, LedgerReply, LedgerTransport};
 use hemlockhitch_ledger::{LedgerError, LedgerErrorKind};
 
+use crate::ownership::Bucket;
 use crate::shared::Shared;
 use crate::wire;
 
@@ -22,6 +23,7 @@
 
 impl LedgerTransport for PeerTransport {
     async fn call(&self, address: &str, call: LedgerCall) -> Result<LedgerReply, LedgerError> {
+        let shard = call.shard(self.shared.settings.ledger_shards);
         let call_json = serde_json::to_vec(&call).map_err(|error| unreadable(&error))?;
         let request = wire::LedgerRequest { call_json };
         let reply = self
@@ -30,7 +32,14 @@
             .ledger(address, request)
             .await
             .map_err(|error| LedgerError::new(LedgerErrorKind::Unavailable, error.to_string()))?;
-        serde_json::from_slice(&reply.reply_json).map_err(|error| unreadable(&error))
+        let answer =
+            serde_json::from_slice(&reply.reply_json).map_err(|error| unreadable(&error))?;
+        // The next try goes to the owner that the called node knows of.
+        if reply.owner.is_some() || answer == LedgerReply::NotOwner {
+            let bucket = Bucket::of_shard(shard);
+            self.shared.ownership.disowned(bucket, reply.owner);
+        }
+        Ok(answer)
     }
 }
 
--- a/crates/hemlockhitch_peer/src/ownership/mod.rs
+++ b/crates/hemlockhitch_peer/src/ownership/mod.rs
@@ -194,6 +194,22 @@
         }
     }
 
+    /// Takes in that the node which was taken for the owner is not, and whom it
+    /// names. Without newer news the node that should own the bucket is asked next:
+    /// news of owners is told a few times only, and a node may have missed it.
+    pub(crate) fn disowned(&self, bucket: Bucket, told: Option<wire::Owner>) {
+        let told_version = told.map_or(0, |owner| owner.version);
+        if let Some(known) = self.lock().known.get_mut(&bucket)
+            && told_version <= known.version
+        {
+            known.node = None;
+            return;
+        }
+        if let Some(owner) = told {
+            self.learn_wire(owner);
+        }
+    }
+
     /// Chooses up to `count` owners that are still news.
     pub(crate) fn sample(&self, count: usize) -> Vec<wire::Owner> {
         let mut state = self.lock();
--- a/crates/hemlockhitch_peer/src/peers/server.rs
+++ b/crates/hemlockhitch_peer/src/peers/server.rs
@@ -42,6 +42,13 @@
         Ok((message, self.clock.now()))
     }
 
+    /// Returns who owns a bucket, as far as this node knows, unless it does itself.
+    fn owner_elsewhere(&self, bucket: Bucket) -> Option<wire::Owner> {
+        let ownership = &self.shared.ownership;
+        let is_own = ownership.fencing(bucket, self.clock.now()).is_some();
+        ownership.known_of(bucket).filter(|_| !is_own)
+    }
+
     fn reply<T: Message>(&self, message: T) -> Answer<T> {
         self.shared.traffic.sent(&message);
         Ok(Response::new(message))
@@ -177,12 +184,10 @@
         let granted = self.shared.as_owner(&slot.endpoint, now, |book| {
             book.grant(node, message.grant_id, &slot, now)
         });
+        let bucket = self.shared.ownership.endpoint_bucket(&slot.endpoint);
         let not_owner = || wire::GrantReply {
             answer: wire::GrantAnswer::NotOwner.into(),
-            owner: self
-                .shared
-                .ownership
-                .known_of(self.shared.ownership.endpoint_bucket(&slot.endpoint)),
+            owner: self.owner_elsewhere(bucket),
             ..wire::GrantReply::default()
         };
         self.reply(granted.map_or_else(not_owner, grant_reply))
@@ -213,9 +218,11 @@
         let call: LedgerCall = serde_json::from_slice(&message.call_json).map_err(|error| {
             PeerError::new(PeerErrorKind::BadMessage, format!("ledger call: {error}"))
         })?;
+        let shard = call.shard(self.shared.settings.ledger_shards);
         let reply = self.ledger.handle(call, now).await;
         let reply_json = serde_json::to_vec(&reply)
             .map_err(|error| Status::internal(format!("ledger reply: {error}")))?;
-        self.reply(wire::LedgerReply { reply_json })
+        let owner = self.owner_elsewhere(Bucket::of_shard(shard));
+        self.reply(wire::LedgerReply { reply_json, owner })
     }
 }
--- a/crates/hemlockhitch_peer/src/slots/remote.rs
+++ b/crates/hemlockhitch_peer/src/slots/remote.rs
@@ -134,9 +134,8 @@
             }
             wire::GrantAnswer::Full => Asked::Full,
             wire::GrantAnswer::NotOwner => {
-                if let Some(owner) = reply.owner {
-                    self.shared.ownership.learn_wire(owner);
-                }
+                let bucket = self.shared.ownership.endpoint_bucket(&request.endpoint);
+                self.shared.ownership.disowned(bucket, reply.owner);
                 Asked::Elsewhere
             }
             wire::GrantAnswer::Closed | wire::GrantAnswer::Unspecified => Asked::Unclear,
--- a/crates/hemlockhitch_peer/tests/ownership.rs
+++ b/crates/hemlockhitch_peer/tests/ownership.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hemlockhitch_ledger::call::{LedgerCall, LedgerTransport};
+use hemlockhitch_ledger::claim::ClaimKey;
 use hemlockhitch_ledger::shard::{ShardId, ShardOwner};
 use hemlockhitch_model::{Clock, ManualClock, Now};
 use hemlockhitch_peer::{Bucket, Owner, Peers, Space};
@@ -14,6 +16,9 @@
 use support::frozen::FreezableNode;
 use support::{Platform, settings, until};
 
+/// Longer than news of an owner is told: 12 messages, one in each interval.
+const NEWS_IS_OLD: Duration = Duration::from_secs(3);
+
 fn buckets() -> Vec<Bucket> {
     let settings = settings();
     let endpoints = (0..settings.endpoint_buckets).map(|index| Bucket {
@@ -214,3 +219,62 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn node_that_missed_news_of_an_owner_learns_it_from_the_former_one() {
+    let platform = Platform::default();
+    let clock = platform.clock;
+    let frozen = FreezableNode::start(&platform, "frozen");
+    let mut fleet = platform.fleet_beside(2, 1).await;
+    let mut all: Vec<&Peers> = fleet.iter().collect();
+    all.push(&frozen.peers);
+    until_owned(&all, &clock).await;
+
+    // Buckets move to a node that starts, and the news of it is used up.
+    let thaw = frozen.freeze();
+    let started = platform.start("n3").await;
+    until("the new node owns shards", || {
+        !shards_of(&started, clock.now()).is_empty()
+    })
+    .await;
+    let moved = shards_of(&started, clock.now())[0];
+    sleep(NEWS_IS_OLD).await;
+    drop(thaw);
+    fleet.push(started);
+
+    let transport = frozen.peers.transport();
+    let call = LedgerCall::FindClaim(key_in(moved));
+    let expected = fleet[2].address();
+    let end = Instant::now() + Duration::from_secs(5);
+    loop {
+        let owner = frozen.peers.ownership().shard_owner(moved, clock.now());
+        let ShardOwner::At { address, .. } = owner else {
+            sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        if address == expected {
+            return;
+        }
+        assert!(Instant::now() < end, "{address} is still asked");
+        let _ = transport.call(&address, call.clone()).await;
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn shards_of(peers: &Peers, now: Now) -> Vec<ShardId> {
+    let held = peers.ownership().held(now);
+    held.into_iter()
+        .filter(|bucket| bucket.space == Space::Ledger)
+        .map(|bucket| ShardId(bucket.index))
+        .collect()
+}
+
+fn key_in(shard: ShardId) -> ClaimKey {
+    (0..)
+        .map(|number| ClaimKey {
+            organisation: "o".into(),
+            idempotency_key: format!("k-{number}"),
+        })
+        .find(|key| LedgerCall::FindClaim(key.clone()).shard(settings().ledger_shards) == shard)
+        .expect("some key lies in each shard")
+}
