--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -96,6 +96,13 @@
         self.catalogue = Some(Arc::new(catalogue));
     }
 
+    /// Returns the place of a node in the list of nodes; 0 while it is not listed.
+    #[must_use]
+    pub fn place_among_nodes(&self, node: &str) -> u64 {
+        let place = self.nodes.keys().position(|name| name == node);
+        place.map_or(0, |place| place as u64)
+    }
+
     /// Returns the nodes that common allowances are divided over; at least one.
     #[must_use]
     pub fn node_count(&self) -> u32 {
--- a/crates/hemlockhitch_gateway/src/steward/mod.rs
+++ b/crates/hemlockhitch_gateway/src/steward/mod.rs
@@ -26,7 +26,7 @@
 
 /// How often the steward looks for something to do: a fraction of the time in which
 /// a bad version must be taken back.
-const INTERVAL: Duration = Duration::from_millis(200);
+const INTERVAL: Duration = Duration::from_millis(100);
 
 /// How often one node asks the endpoints that a roll-out leaves whether they are
 /// idle, in milliseconds: each question has a price.
@@ -45,7 +45,6 @@
 /// Acts on roll-outs and suspicions until the task is ended.
 pub async fn steer<D: Dialect, C: Clock>(shared: Shared<D, C>, store: impl KeyValue) {
     let mut steward = Steward {
-        turn: hemlockhitch_routing::hash_bytes(shared.settings().node.as_str()) % TURNS,
         shared,
         store,
         due_mono_ms: HashMap::new(),
@@ -65,8 +64,6 @@
 struct Steward<D, C, S> {
     shared: Shared<D, C>,
     store: S,
-    /// The place of this node among the turns.
-    turn: u64,
     /// From when this node may write a state that nobody has written yet.
     due_mono_ms: HashMap<(ServiceName, Stage), u64>,
     /// When endpoints were last asked whether they are idle.
@@ -129,7 +126,11 @@
     /// have then written, or are not there.
     fn is_due(&mut self, service: &ServiceName, stage: Stage) -> bool {
         let now_mono_ms = self.shared.now().mono_ms;
-        let turn_ms = self.turn * self.turn_length_ms(service);
+        let turn = self
+            .shared
+            .state()
+            .place_among_nodes(self.shared.settings().node.as_str());
+        let turn_ms = turn.min(TURNS - 1) * self.turn_length_ms(service);
         let due_mono_ms = self
             .due_mono_ms
             .entry((service.clone(), stage))
@@ -160,6 +161,9 @@
             SwapOutcome::Written(version) => {
                 tracing::info!(event = "HH1251", %service, target = %order.target, ?stage, "roll-out stage");
                 self.shared.state().put_stage(service, record, version);
+                if stage.is_final() {
+                    self.tell(service, &order, stage).await?;
+                }
             }
             SwapOutcome::Conflict(Some(entry)) => {
                 learn_stage(&mut self.shared.state(), service, &entry);
@@ -200,10 +204,19 @@
         if !self.is_due(service, told_as(stage)) {
             return Ok(());
         }
+        self.tell(service, &order, stage).await
+    }
+
+    async fn tell(
+        &self,
+        service: &ServiceName,
+        order: &Order,
+        stage: Stage,
+    ) -> Result<(), KeyValueError> {
         let (key, value) = self
             .shared
             .dialect()
-            .roll_out_status(service, &order, stage);
+            .roll_out_status(service, order, stage);
         let swap = Swap {
             key,
             expected: Expected::Any,
--- a/crates/hemlockhitch_routing/src/roll_out/mod.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/mod.rs
@@ -17,37 +17,35 @@
 use crate::place::Wanted;
 use hemlockhitch_model::{hash_bytes, mix};
 
-/// Percent of the sessions in the first stage: below the part of all requests that
-/// a bad version may get.
-const TRIAL_PERCENT: u64 = 10;
+/// Percent of the sessions on trial. With the requests from [`ALL_AFTER`] on they are
+/// below the part of all requests that a bad version may get (15 percent), so that a
+/// version whose badness no node can see stays within it too.
+const TRIAL_PERCENT: u64 = 6;
 
 /// How long a trial waits for the other nodes to tell which sessions are under way,
 /// in milliseconds: several times a write to the store and the watch of it.
 const PIN_WAIT_MS: u64 = 400;
 
-/// Percent of the sessions in the second stage.
-const WIDE_PERCENT: u64 = 35;
-
-/// Part of the time after which the second stage begins; sessions keep their
-/// version before.
-const WIDE_AFTER: f64 = 0.52;
-
 /// Part of the time after which all sessions move.
-const ALL_AFTER: f64 = 0.62;
+const ALL_AFTER: f64 = 0.92;
 
 /// Part of the time after which the roll-out is completed once the other versions
 /// are idle.
-const COMPLETE_AFTER: f64 = 0.75;
+const COMPLETE_AFTER: f64 = 0.94;
 
-/// Part of the time after which it is completed at any rate.
-const COMPLETE_AT_LATEST: f64 = 0.95;
+/// Part of the time that is left when it is completed at any rate.
+const LEFT_AT_LATEST: f64 = 0.05;
+
+/// The most that is left then, in milliseconds: some turns of nodes and two writes to
+/// the store, also to one that answers late.
+const LEFT_MOST_MS: f64 = 800.0;
 
 /// Good answers that one node must have seen before the version gets more.
 const GOOD_LEAST: u32 = 3;
 
 /// Part of the time after which the version gets more without that: too few
 /// requests reach the service to show it.
-const UNPROVED_AFTER: f64 = 0.68;
+const UNPROVED_AFTER: f64 = 0.93;
 
 /// An operator's order to move a service to a version.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -132,13 +130,10 @@
             Stage::RolledBack => return Wanted::Not(target),
             Stage::Trial if now.mono_ms < self.ordered_mono_ms + PIN_WAIT_MS => 0,
             Stage::Trial => TRIAL_PERCENT,
-            Stage::Wide => WIDE_PERCENT,
         };
-        let in_trial = self.stage == Stage::Trial;
         let moves = match served_by {
-            Some(version) if in_trial || version == target => version == target,
-            _ if in_trial && self.pinned.contains(&session) => false,
-            _ => self.place_of(session) < percent,
+            Some(version) => version == target,
+            None => !self.pinned.contains(&session) && self.place_of(session) < percent,
         };
         if moves {
             Wanted::Only(target)
@@ -163,15 +158,17 @@
             return Some(Stage::RolledBack);
         }
         #[allow(clippy::cast_precision_loss)]
-        let passed = now.mono_ms.saturating_sub(self.ordered_mono_ms) as f64
-            / self.order.finish_ms.max(1) as f64;
+        let finish_ms = self.order.finish_ms.max(1) as f64;
+        #[allow(clippy::cast_precision_loss)]
+        let passed_ms = now.mono_ms.saturating_sub(self.ordered_mono_ms) as f64;
+        let passed = passed_ms / finish_ms;
+        let is_last_moment = passed_ms + (LEFT_AT_LATEST * finish_ms).min(LEFT_MOST_MS) >= finish_ms;
         let proved = self.evidence.good() >= GOOD_LEAST || passed >= UNPROVED_AFTER;
         let proved = proved && !self.evidence.is_doubtful();
         match self.stage {
-            Stage::Trial if passed >= WIDE_AFTER && proved => Some(Stage::Wide),
-            Stage::Wide if passed >= ALL_AFTER && proved => Some(Stage::All),
+            Stage::Trial if passed >= ALL_AFTER && proved => Some(Stage::All),
             Stage::All if passed >= COMPLETE_AFTER && others_idle => Some(Stage::Completed),
-            Stage::All if passed >= COMPLETE_AT_LATEST => Some(Stage::Completed),
+            Stage::All if is_last_moment => Some(Stage::Completed),
             _ => None,
         }
     }
--- a/crates/hemlockhitch_routing/src/roll_out/stage.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/stage.rs
@@ -9,8 +9,6 @@
 pub enum Stage {
     /// A few sessions use the new version.
     Trial,
-    /// More sessions use it.
-    Wide,
     /// Every request uses it; the other versions finish what they run.
     All,
     /// The other versions may stop.
