Bound what an unproved version gets by design, and see slowness by shares

Ruled out: evidence that comes late (no evidence comes); the trial at one endpoint (trial with all of a version's requests at one: still no failed answer). A version in doubt at the end is taken back. Slowness has its own test: the share of answers beyond twice the median of the others, as the mean was moved by endpoints that turned slow, and a slow version was found too late at six percent. Conclusion: the price is what old endpoints still run when they are stopped.

--- a/crates/hemlockhitch_gateway/src/attempt/place.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/place.rs
@@ -12,9 +12,9 @@
 use crate::dialect::Dialect;
 use crate::state::{Shared, State};
 
-/// Part of its objective within which an answer is never slow: several times what an
-/// unloaded endpoint takes.
-const IN_TIME_DIVISOR: u64 = 8;
+/// Part of its objective within which an answer is never slow: about what an unloaded
+/// endpoint takes.
+const IN_TIME_DIVISOR: u64 = 16;
 
 /// Events from which the pace of a stream is compared; the pace of fewer is that of
 /// one pause.
@@ -22,7 +22,7 @@
 
 /// Time within which the events of a stream are never slow, in milliseconds: several
 /// pauses for prompts that are read between them.
-const EVENTS_IN_TIME_MS: u64 = 150;
+const EVENTS_IN_TIME_MS: u64 = 100;
 
 /// A place at an endpoint; it is free again when it is dropped.
 #[derive(Debug)]
@@ -77,6 +77,9 @@
         }
         let version = known.entry.version.clone();
         state.sessions.note(job.session, &version, now);
+        if let Some(roll_out) = state.roll_outs.get_mut(&job.service) {
+            roll_out.count(&version, now);
+        }
         Some(Self {
             shared: shared.clone(),
             endpoint,
--- a/crates/hemlockhitch_gateway/src/steward/mod.rs
+++ b/crates/hemlockhitch_gateway/src/steward/mod.rs
@@ -213,10 +213,7 @@
         order: &Order,
         stage: Stage,
     ) -> Result<(), KeyValueError> {
-        let (key, value) = self
-            .shared
-            .dialect()
-            .roll_out_status(service, order, stage);
+        let (key, value) = self.shared.dialect().roll_out_status(service, order, stage);
         let swap = Swap {
             key,
             expected: Expected::Any,
--- a/crates/hemlockhitch_routing/src/roll_out/evidence.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/evidence.rs
@@ -1,6 +1,6 @@
 //! What a node has seen of a new version and of the others.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use hemlockhitch_model::Now;
 
@@ -37,23 +37,31 @@
 /// Answers of the others after which old ones count half.
 const REMEMBERED_ANSWERS: f64 = 500.0;
 
-/// How many times as slow as the others an answer must be to count as bad, while
-/// the others answer too.
-const SLOW_FACTOR: f64 = 4.0;
+/// How many times the others' usual time an answer takes that counts as slow, while
+/// the others have most of the requests.
+const SLOW_FACTOR: f64 = 2.0;
 
-/// The same when the others have not answered lately: the load may have changed
-/// since.
+/// The same once the new version has all requests, or when the others have not
+/// answered lately: the load differs from that of the answers compared with.
 const SLOW_ALONE_FACTOR: f64 = 8.0;
 
+/// Bounds of the share of slow answers that is taken for usual: good versions on
+/// trial stay below the least, as their endpoints have little to do.
+const USUAL_SLOW_BOUNDS: (f64, f64) = (0.15, 0.5);
+
+/// By how much a slow version gives slow answers more often than the others.
+const SLOWER_BY: f64 = 0.3;
+
 /// How many times as long an answer is never slow then: a version that has just got
 /// all requests reads prompts which the others had in their caches.
 const ALONE_IN_TIME: u64 = 3;
 
 /// For how long an answer of the others is compared with, in milliseconds.
-const COMPARED_MS: u64 = 2_000;
+const COMPARED_MS: u64 = 5_000;
 
-/// Weight of the newest answer in the mean time of the others.
-const NEWEST_WEIGHT: f64 = 0.1;
+/// How many of the others' latest answers of a kind are compared with: enough for a
+/// median that some slow endpoints among them do not move.
+const COMPARED_ANSWERS: usize = 24;
 
 /// One answer, or the lack of one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,21 +88,44 @@
     }
 }
 
-/// The usual time of the others' answers for a unit of work, in milliseconds.
-#[derive(Clone, Copy, Debug)]
+/// The times of the others' latest answers for a unit of work.
+#[derive(Clone, Debug, Default)]
 struct Pace {
-    ms_per_unit: f64,
+    latest_ms_per_unit: VecDeque<f64>,
     last_mono_ms: u64,
 }
 
+impl Pace {
+    fn note(&mut self, ms_per_unit: f64, now: Now) {
+        if self.latest_ms_per_unit.len() == COMPARED_ANSWERS {
+            self.latest_ms_per_unit.pop_front();
+        }
+        self.latest_ms_per_unit.push_back(ms_per_unit);
+        self.last_mono_ms = now.mono_ms;
+    }
+
+    /// Returns the usual time for a unit of work, in milliseconds.
+    fn median_ms_per_unit(&self) -> f64 {
+        let mut sorted: Vec<f64> = self.latest_ms_per_unit.iter().copied().collect();
+        sorted.sort_unstable_by(f64::total_cmp);
+        sorted.get(sorted.len() / 2).copied().unwrap_or(f64::MAX)
+    }
+}
+
 /// What a node has seen of a new version and of the others.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
     others_answers: f64,
     others_failed: f64,
+    others_slow: f64,
     usual_pace: HashMap<u64, Pace>,
     good: u32,
-    log_ratio: f64,
+    /// Whether the new version has all requests.
+    alone: bool,
+    /// The evidence from answers that failed.
+    failing_log: f64,
+    /// The evidence from answers that took long.
+    slow_log: f64,
     shared_log: f64,
     peers: HashMap<String, f64>,
 }
@@ -113,44 +144,52 @@
         if self.others_answers >= REMEMBERED_ANSWERS {
             self.others_answers /= 2.0;
             self.others_failed /= 2.0;
+            self.others_slow /= 2.0;
         }
         self.others_answers += 1.0;
         if seen.failed {
             self.others_failed += 1.0;
             return;
         }
-        let ms_per_unit = seen.ms_per_unit();
-        let usual = self.usual_pace.entry(seen.kind_hash).or_insert(Pace {
-            ms_per_unit,
-            last_mono_ms: now.mono_ms,
-        });
-        usual.ms_per_unit += (ms_per_unit - usual.ms_per_unit) * NEWEST_WEIGHT;
-        usual.last_mono_ms = now.mono_ms;
+        if self.is_slow(seen, now) {
+            self.others_slow += 1.0;
+        }
+        let usual = self.usual_pace.entry(seen.kind_hash).or_default();
+        usual.note(seen.ms_per_unit(), now);
     }
 
     fn note_target(&mut self, seen: Observation, now: Now) {
         let usual = self.usual_ratio();
-        let worse = usual + WORSE_BY;
-        if seen.failed || self.is_slow(seen, now) {
-            self.log_ratio += (worse / usual).ln();
-        } else {
+        self.failing_log += log_ratio_of(seen.failed, usual, usual + WORSE_BY);
+        self.failing_log = self.failing_log.max(0.0);
+        if seen.failed {
+            return;
+        }
+        let is_slow = self.is_slow(seen, now);
+        let usual = self.usual_slow_ratio();
+        self.slow_log += log_ratio_of(is_slow, usual, usual + SLOWER_BY);
+        self.slow_log = self.slow_log.max(0.0);
+        if !is_slow {
             self.good += 1;
-            self.log_ratio += ((1.0 - worse) / (1.0 - usual)).ln();
         }
-        self.log_ratio = self.log_ratio.max(0.0);
+    }
+
+    /// Takes in that the new version has all requests from now on.
+    pub(super) fn leave_others(&mut self) {
+        self.alone = true;
     }
 
     fn is_slow(&self, seen: Observation, now: Now) -> bool {
         let Some(usual) = self.usual_pace.get(&seen.kind_hash) else {
             return false;
         };
-        let compared = now.mono_ms.saturating_sub(usual.last_mono_ms) <= COMPARED_MS;
+        let compared = !self.alone && now.mono_ms.saturating_sub(usual.last_mono_ms) <= COMPARED_MS;
         let (factor, in_time_ms) = if compared {
             (SLOW_FACTOR, seen.in_time_ms)
         } else {
             (SLOW_ALONE_FACTOR, ALONE_IN_TIME * seen.in_time_ms)
         };
-        seen.took_ms > in_time_ms && seen.ms_per_unit() > factor * usual.ms_per_unit
+        seen.took_ms > in_time_ms && seen.ms_per_unit() > factor * usual.median_ms_per_unit()
     }
 
     /// Returns how many good answers the new version gave.
@@ -159,6 +198,11 @@
         self.good
     }
 
+    /// Returns this node's evidence, of whichever kind is the stronger.
+    fn log_ratio(&self) -> f64 {
+        self.failing_log.max(self.slow_log)
+    }
+
     /// Takes in the evidence of another node.
     pub fn learn(&mut self, node: impl Into<String>, log_ratio: f64) {
         self.peers.insert(node.into(), log_ratio);
@@ -167,8 +211,8 @@
     /// Returns this node's evidence if the others should be told of it.
     #[must_use]
     pub fn news(&self) -> Option<f64> {
-        let changed = (self.log_ratio - self.shared_log).abs() >= SHARED_STEP_LOG;
-        changed.then_some(self.log_ratio)
+        let changed = (self.log_ratio() - self.shared_log).abs() >= SHARED_STEP_LOG;
+        changed.then_some(self.log_ratio())
     }
 
     /// Takes in that the others were told.
@@ -180,13 +224,13 @@
     /// evidence or by that of all.
     #[must_use]
     pub fn is_bad(&self) -> bool {
-        self.log_ratio >= BAD_LOG || self.joint_log() >= BAD_LOG
+        self.log_ratio() >= BAD_LOG || self.joint_log() >= BAD_LOG
     }
 
     /// Returns whether the new version may be worse than the others.
     #[must_use]
     pub fn is_doubtful(&self) -> bool {
-        self.log_ratio.max(self.joint_log()) >= DOUBT_LOG
+        self.log_ratio().max(self.joint_log()) >= DOUBT_LOG
     }
 
     /// Returns the evidence of all nodes, less what chance gives them.
@@ -194,7 +238,7 @@
         #[allow(clippy::cast_precision_loss)]
         let nodes = self.peers.len() as f64 + 1.0;
         let chance_log = CHANCE_LOG + CHANCE_LOG_PER_RATIO * self.usual_ratio();
-        self.log_ratio + self.peers.values().sum::<f64>() - chance_log * nodes
+        self.log_ratio() + self.peers.values().sum::<f64>() - chance_log * nodes
     }
 
     /// Returns the share of the others' answers that fail.
@@ -202,4 +246,20 @@
         let usual = (self.others_failed + PRIOR_FAILED) / (self.others_answers + PRIOR_ANSWERS);
         usual.clamp(USUAL_LEAST, 0.7)
     }
+
+    /// Returns the share of the others' answers that are slow beside their median.
+    fn usual_slow_ratio(&self) -> f64 {
+        let (least, most) = USUAL_SLOW_BOUNDS;
+        let usual = self.others_slow / self.others_answers.max(1.0);
+        usual.clamp(least, most)
+    }
+}
+
+/// Returns by how much an answer speaks for the worse of two shares, as a logarithm.
+fn log_ratio_of(is_bad: bool, usual: f64, worse: f64) -> f64 {
+    if is_bad {
+        (worse / usual).ln()
+    } else {
+        ((1.0 - worse) / (1.0 - usual)).ln()
+    }
 }
--- a/crates/hemlockhitch_routing/src/roll_out/mod.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/mod.rs
@@ -5,6 +5,7 @@
 //! version back at once.
 
 mod evidence;
+mod share;
 mod stage;
 
 pub use evidence::{Evidence, Observation};
@@ -16,6 +17,7 @@
 
 use crate::place::Wanted;
 use hemlockhitch_model::{hash_bytes, mix};
+use share::Share;
 
 /// Percent of the sessions on trial. With the requests from [`ALL_AFTER`] on they are
 /// below the part of all requests that a bad version may get (15 percent), so that a
@@ -65,6 +67,7 @@
     evidence: Evidence,
     /// Sessions that were under way at the order and keep their version.
     pinned: HashSet<u64>,
+    share: Share,
 }
 
 impl RollOut {
@@ -77,6 +80,7 @@
             stage: Stage::Trial,
             evidence: Evidence::default(),
             pinned: HashSet::new(),
+            share: Share::default(),
         }
     }
 
@@ -102,6 +106,9 @@
     /// Moves to a later stage; an earlier one is ignored, as it was read late.
     pub fn advance(&mut self, stage: Stage) {
         self.stage = self.stage.max(stage);
+        if self.stage >= Stage::All {
+            self.evidence.leave_others();
+        }
     }
 
     /// Returns what was seen of the versions.
@@ -120,12 +127,20 @@
         self.pinned.extend(sessions);
     }
 
+    /// Counts a request and the version that it goes to.
+    pub fn count(&mut self, version: &VersionName, now: Now) {
+        self.share.count(version == &self.order.target, now);
+    }
+
     /// Returns which versions a request may go to; `served_by` is the version that
     /// its session was on lately.
     #[must_use]
     pub fn wanted(&self, session: u64, served_by: Option<&VersionName>, now: Now) -> Wanted<'_> {
         let target = &self.order.target;
         let percent = match self.stage {
+            Stage::All if served_by != Some(target) && !self.is_within_share(now) => {
+                return Wanted::Not(target);
+            }
             Stage::All | Stage::Completed => return Wanted::Only(target),
             Stage::RolledBack => return Wanted::Not(target),
             Stage::Trial if now.mono_ms < self.ordered_mono_ms + PIN_WAIT_MS => 0,
@@ -142,6 +157,14 @@
         }
     }
 
+    /// Returns whether the new version stays within its part of all requests if it
+    /// gets all of them from now on. Otherwise many came at the end of its time, and
+    /// the others keep theirs up to the last moment.
+    fn is_within_share(&self, now: Now) -> bool {
+        let end_mono_ms = self.ordered_mono_ms + self.order.finish_ms;
+        self.share.allows_all(end_mono_ms, now)
+    }
+
     /// Returns the place of a session among a hundred, the same on every node.
     fn place_of(&self, session: u64) -> u64 {
         mix(session, hash_bytes(self.order.target.as_str())) % 100
@@ -162,12 +185,19 @@
         #[allow(clippy::cast_precision_loss)]
         let passed_ms = now.mono_ms.saturating_sub(self.ordered_mono_ms) as f64;
         let passed = passed_ms / finish_ms;
-        let is_last_moment = passed_ms + (LEFT_AT_LATEST * finish_ms).min(LEFT_MOST_MS) >= finish_ms;
+        let is_last_moment =
+            passed_ms + (LEFT_AT_LATEST * finish_ms).min(LEFT_MOST_MS) >= finish_ms;
         let proved = self.evidence.good() >= GOOD_LEAST || passed >= UNPROVED_AFTER;
         let proved = proved && !self.evidence.is_doubtful();
         match self.stage {
+            // The operator gets an answer in time; the old version is the safe one.
+            Stage::Trial | Stage::All if is_last_moment && self.evidence.is_doubtful() => {
+                Some(Stage::RolledBack)
+            }
             Stage::Trial if passed >= ALL_AFTER && proved => Some(Stage::All),
-            Stage::All if passed >= COMPLETE_AFTER && others_idle => Some(Stage::Completed),
+            Stage::All if passed >= COMPLETE_AFTER && others_idle && self.is_within_share(now) => {
+                Some(Stage::Completed)
+            }
             Stage::All if is_last_moment => Some(Stage::Completed),
             _ => None,
         }
--- a/crates/hemlockhitch_routing/tests/roll_out.rs
+++ b/crates/hemlockhitch_routing/tests/roll_out.rs
@@ -25,6 +25,11 @@
     slow_factor: u64,
     slow_ratio: f64,
     bad_from_ms: u64,
+    /// Share of the others' answers that take four times as long, as from endpoints
+    /// that turned slow.
+    others_slow_ratio: f64,
+    /// From when on three times as many requests come.
+    crowded_from_ms: u64,
 }
 
 /// What came of a played roll-out.
@@ -46,16 +51,26 @@
     let mut played = Played::default();
     for now_ms in (0..FINISH_MS).step_by(20) {
         let now = at(now_ms);
-        request(
-            &mut nodes,
-            &mut played,
-            version,
-            usual_failing_ratio,
-            &mut rng,
-            now,
-        );
+        let requests = if now_ms < version.crowded_from_ms {
+            1
+        } else {
+            3
+        };
+        for _ in 0..requests {
+            request(
+                &mut nodes,
+                &mut played,
+                version,
+                usual_failing_ratio,
+                &mut rng,
+                now,
+            );
+        }
         share_evidence(&mut nodes);
-        let next = nodes.iter().find_map(|node| node.next_stage(true, now));
+        let others_idle = now_ms < version.crowded_from_ms;
+        let next = nodes
+            .iter()
+            .find_map(|node| node.next_stage(others_idle, now));
         if let Some(stage) = next {
             for node in &mut nodes {
                 node.advance(stage);
@@ -92,7 +107,7 @@
             of_target: false,
             failed: rng.f64() < usual_failing_ratio,
             took_ms: 130,
-            in_time_ms: 500,
+            in_time_ms: 125,
         };
         evidence.note(seen, at(0));
     }
@@ -107,14 +122,20 @@
     rng: &mut Rng,
     now: Now,
 ) {
-    let session = rng.u64(..);
     let node = &mut nodes[rng.usize(..NODES)];
-    let of_target = matches!(node.wanted(session, None, now), Wanted::Only(_));
+    let of_target = is_moved(node, rng.u64(..), None, now);
+    let version_name = if of_target { "v2" } else { "v1" };
+    node.count(&version_name.into(), now);
     let is_bad = of_target && now.mono_ms >= version.bad_from_ms;
     let failing_ratio = if is_bad { version.failing_ratio } else { 0.0 };
     let failed = rng.f64() < usual_failing_ratio.max(failing_ratio);
     let is_slow = is_bad && rng.f64() < version.slow_ratio;
-    let slow_factor = if is_slow { version.slow_factor } else { 1 };
+    let is_slow_other = !of_target && rng.f64() < version.others_slow_ratio;
+    let slow_factor = match (is_slow, is_slow_other) {
+        (true, _) => version.slow_factor,
+        (false, true) => 4,
+        (false, false) => 1,
+    };
     let prompt_tokens = 500 + rng.u64(0..8_000);
     let took_ms = (60 + prompt_tokens / 70 + rng.u64(0..60)) * slow_factor;
     node.evidence().note(
@@ -124,7 +145,7 @@
             of_target,
             failed,
             took_ms,
-            in_time_ms: 500,
+            in_time_ms: 125,
         },
         now,
     );
@@ -138,6 +159,8 @@
     slow_factor: 1,
     slow_ratio: 1.0,
     bad_from_ms: 0,
+    others_slow_ratio: 0.0,
+    crowded_from_ms: u64::MAX,
 };
 
 #[test]
@@ -179,6 +202,11 @@
         slow_ratio: 0.5,
         ..GOOD
     };
+    let slow_beside_slow_endpoints = Version {
+        slow_factor: 3,
+        others_slow_ratio: 0.2,
+        ..GOOD
+    };
     let late = Version {
         bad_from_ms: 3_000,
         ..failing
@@ -187,6 +215,7 @@
         ("failing", failing),
         ("slow", slow),
         ("half slow", half_slow),
+        ("slow beside slow endpoints", slow_beside_slow_endpoints),
         ("late", late),
     ] {
         for seed in 0..40 {
@@ -209,8 +238,14 @@
 /// What a version gets whose badness no node can see.
 #[test]
 fn version_without_a_sign_stays_within_its_share() {
-    for seed in 0..40 {
-        let played = play(GOOD, 0.01, seed);
+    let crowded = Version {
+        crowded_from_ms: 21_000,
+        ..GOOD
+    };
+    for seed in 0..80 {
+        let version = if seed < 40 { GOOD } else { crowded };
+        let played = play(version, 0.01, seed);
+        assert_eq!(played.stage, Some(Stage::Completed), "seed {seed}");
         let most = f64::from(played.all_requests) * 0.15 + 30.0;
         assert!(
             f64::from(played.target_requests) <= most,
