--- a/crates/hemlockhitch/src/gateway/mod.rs
+++ b/crates/hemlockhitch/src/gateway/mod.rs
@@ -47,7 +47,7 @@
         let front = Front::start(listen.callers, gateway)
             .await
             .map_err(|error| NodeError::listen(listen.callers, &error))?;
-        hemlockhitch_gateway::serve_readiness(listen.readiness, readiness.clone())
+        let balancer = hemlockhitch_gateway::serve_readiness(listen.readiness, readiness.clone())
             .await
             .map_err(|error| NodeError::listen(listen.readiness, &error))?;
         let feed = hemlockhitch_gateway::serve_feed(listen.peers, shared.clone())
@@ -61,7 +61,15 @@
             tokio::spawn(announce(shared.clone(), store.clone(), feed)),
             tokio::spawn(steer(shared, store)),
         ];
-        tracing::info!(event = "HH0920", node = %file.node.name, callers = %front.address(), "gateway started");
+        tracing::info!(
+            event = "HH0920",
+            node = %file.node.name,
+            callers = %front.address(),
+            readiness = %balancer,
+            peers = %feed,
+            metrics = %metrics.address(),
+            "gateway started"
+        );
         Ok(Self {
             file,
             front,
