Serve counters and histograms of the gateway

Cause: the page of metrics held three counters; answers, times, ages and endpoints by state could be had from the log only. Change: answers and their times by organisation and class, tries, resumes, larger models, time left at sending, pauses between events, age of the configuration, endpoints by state, calls of the store by kind and end. The first 64 organisations have labels of their own. Ruled out: routes as labels (configurations grow by many routes). Before: three counters. After: metrics_tell_answers_tries_ages_and_endpoints. Conclusion: bytes between nodes and the cost of logs are still not measured.

--- a/crates/hemlockhitch/src/gateway/mod.rs
+++ b/crates/hemlockhitch/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 
 use hemlockhitch_adapter::{PlatformDialect, PlatformStore};
 use hemlockhitch_config::settings::GatewayFile;
-use hemlockhitch_gateway::{Front, Gateway, Readiness, Shared, announce, follow, steer};
+use hemlockhitch_gateway::{Front, Gateway, Readiness, Shared, announce, follow, report, steer};
 use hemlockhitch_http::server::ApiServer;
 use hemlockhitch_model::BootClock;
 use tokio::task::JoinHandle;
@@ -59,6 +59,7 @@
         let background = vec![
             tokio::spawn(follow(shared.clone(), store.clone())),
             tokio::spawn(announce(shared.clone(), store.clone(), feed)),
+            tokio::spawn(report(shared.clone())),
             tokio::spawn(steer(shared, store)),
         ];
         tracing::info!(
--- a/crates/hemlockhitch_gateway/src/attempt/mod.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/mod.rs
@@ -22,6 +22,7 @@
 use hyper::body::Incoming;
 
 use crate::dialect::Dialect;
+use crate::figures::Labels;
 use crate::state::Shared;
 use admit::Admission;
 
@@ -62,7 +63,13 @@
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Infallible> {
         let response = match self.admit(request).await {
-            Admission::Admitted(job) => self.run(*job).await,
+            Admission::Admitted(job) => {
+                let organisation = job.organisation.as_ref().map(|known| &known.name);
+                let labels = Labels::new(&self.shared, organisation, job.route.work, job.arrived);
+                let response = self.run(*job).await;
+                labels.answered(response.status().as_u16(), self.shared.now());
+                response
+            }
             Admission::Refused(refusal) => refusal.into_response(),
         };
         Ok(response)
--- a/crates/hemlockhitch_gateway/src/attempt/relay.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/relay.rs
@@ -16,6 +16,7 @@
 use super::send::Opened;
 use super::stream::{Next, OpenStream};
 use crate::dialect::Dialect;
+use crate::figures;
 
 /// Events that may wait for a slow caller before its endpoint is read no further.
 const EVENTS_AHEAD: usize = 16;
@@ -86,6 +87,8 @@
         let silence = Duration::from_millis(pause_ms * SILENT_PAUSES);
         let mut stream = stream;
         let mut events = 0;
+        let pauses = figures::between_events();
+        let mut last_mono_ms = None;
         loop {
             let can_move = self.job.route.work.may_run_again()
                 && self.log.has_tries_left(self.job.route.endpoints_most);
@@ -100,6 +103,10 @@
                     self.log.last_event = event.id.or(self.log.last_event);
                     self.log.relayed = true;
                     events += 1;
+                    let now_mono_ms = self.gateway.shared.now().mono_ms;
+                    if let Some(last_mono_ms) = last_mono_ms.replace(now_mono_ms) {
+                        pauses.record(figures::float(now_mono_ms.saturating_sub(last_mono_ms)));
+                    }
                     if self.sender.send(Piece::Bytes(event.bytes)).await.is_err() {
                         return false;
                     }
@@ -145,7 +152,10 @@
             return None;
         }
         match self.gateway.attempts(&self.job, &mut self.log).await {
-            Ok(Opened::Stream(stream)) => Some(*stream),
+            Ok(Opened::Stream(stream)) => {
+                figures::resumed();
+                Some(*stream)
+            }
             Ok(Opened::Whole(_)) | Err(_) => None,
         }
     }
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -18,6 +18,7 @@
 use super::relay;
 use super::send::{Bad, Good, Opened, WholeAnswer, promises_not_run};
 use crate::dialect::Dialect;
+use crate::figures;
 
 /// When a caller is told to come back if no endpoint takes its request, in
 /// milliseconds: most such states pass within a second.
@@ -83,6 +84,7 @@
             if log.sent > 0 {
                 self.count_repeat(job);
             }
+            figures::sending(job.route.work, job.time_left_ms(self.shared.now()));
             log.tried.push(place.endpoint);
             log.sent += 1;
             log.under_way = true;
@@ -93,6 +95,7 @@
                     log.under_way = false;
                     self.note_good(job, log, &good, place.as_ref());
                     if let Some(larger) = self.larger_size(job, log, &good) {
+                        figures::larger_model();
                         log.size = larger;
                         log.may_have_run = true;
                         continue;
@@ -116,6 +119,7 @@
     fn decide(&self, job: &Job<D, C>, log: &Log, bad: Bad) -> Result<(), Ending> {
         let may_repeat = self.may_repeat(job, log, bad.seen);
         let verdict = judge(job.route.work, bad.seen, log.tries(may_repeat));
+        figures::failed_try(bad.seen);
         tracing::info!(
             event = "HH1224",
             request = job.terms.request,
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::connection::Connections;
 use crate::dialect::Dialect;
+use crate::figures::OrganisationLabels;
 use crate::peer::{LoadTable, Loads, Mirror};
 use crate::presence::NodeRecord;
 use crate::settings::GatewaySettings;
@@ -31,6 +32,8 @@
     pub fleet: Fleet,
     /// How recent the configuration is.
     pub freshness: Freshness,
+    /// The organisations that metrics name.
+    pub organisation_labels: OrganisationLabels,
     /// The nodes that may be at work, by name.
     pub nodes: BTreeMap<String, NodeRecord>,
     node_hashes: Vec<u64>,
@@ -67,6 +70,7 @@
             catalogue: None,
             fleet: Fleet::default(),
             freshness: Freshness::default(),
+            organisation_labels: OrganisationLabels::default(),
             nodes: BTreeMap::new(),
             node_hashes: Vec::new(),
             roll_outs: HashMap::new(),
--- a/crates/hemlockhitch_ports/src/calls.rs
+++ b/crates/hemlockhitch_ports/src/calls.rs
@@ -29,6 +29,18 @@
     Watch,
 }
 
+impl CallKind {
+    /// Returns the name of the kind in metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Write => "write",
+            Self::Watch => "watch",
+        }
+    }
+}
+
 /// The number of calls of each kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/hemlockhitch_routing/src/fleet/mod.rs
+++ b/crates/hemlockhitch_routing/src/fleet/mod.rs
@@ -68,6 +68,11 @@
         self.endpoints.get_mut(&key)
     }
 
+    /// Iterates over all endpoints.
+    pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
     /// Iterates over the endpoints of a service, whatever their state.
     pub fn of_service(
         &self,
