Let requests wait a moment for a node's first configuration

Change: a request waits up to 300 ms for the first configuration, then gets the same refusal as before. A node that has a configuration never waits.

--- a/crates/hemlockhitch_gateway/src/attempt/admit.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/admit.rs
@@ -10,7 +10,7 @@
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::Gateway;
 use super::answer::Refusal;
@@ -25,6 +25,11 @@
 /// takes, in milliseconds.
 const BACK_TO_FULL_MS: u64 = 500;
 
+/// How long a request waits for the first configuration of a node that has just
+/// started: some answers of the store, which are there sooner than the caller would be
+/// again.
+const FIRST_CONFIGURATION: Duration = Duration::from_millis(300);
+
 /// The time of a request that states none and has no route yet, in milliseconds.
 const TIME_DEFAULT_MS: u64 = 30_000;
 
@@ -40,7 +45,7 @@
         let started = Instant::now();
         let (head, body) = request.into_parts();
         let terms = self.shared.dialect().terms(&head.headers);
-        let catalogue = self.shared.state().catalogue.clone();
+        let catalogue = self.catalogue().await;
         let limits = catalogue
             .as_ref()
             .map(|catalogue| catalogue.caller_limits());
@@ -80,6 +85,20 @@
         }
     }
 
+    /// Returns the configuration in force; a node that has just started waits for it
+    /// for a moment.
+    async fn catalogue(&self) -> Option<Arc<Catalogue>> {
+        let known = self.shared.state().catalogue.clone();
+        if known.is_some() {
+            return known;
+        }
+        let mut revisions = self.shared.revisions();
+        let first = revisions.wait_for(|revision| *revision > 0);
+        // Late or not, what counts is what is known then.
+        let _ = timeout(FIRST_CONFIGURATION, first).await;
+        self.shared.state().catalogue.clone()
+    }
+
     fn authenticate(
         &self,
         catalogue: &Catalogue,
