Give short roll-outs the same time for their last steps

Change: all sessions move with 1.2 s left, and the version is completed with 0.8 s left, whatever the length of the order; orders of 15 s and more are as before, but that a version without answers moves with 1.0 s left instead of 0.07 of its time. Conclusion: the share counted at each node bounds what a short order gives away.

--- a/crates/hemlockhitch_routing/src/roll_out/mod.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/mod.rs
@@ -35,19 +35,20 @@
 /// are idle.
 const COMPLETE_AFTER: f64 = 0.94;
 
-/// Part of the time that is left when it is completed at any rate.
-const LEFT_AT_LATEST: f64 = 0.08;
+/// The time that is left when all sessions move at the latest, in milliseconds: the
+/// news reaches every node before the last moment of a short order too.
+const LEFT_FOR_ALL_MS: f64 = 1_200.0;
 
-/// The most that is left then, in milliseconds: some turns of nodes and two writes to
-/// the store, also to one that answers late.
-const LEFT_MOST_MS: f64 = 800.0;
+/// The time that is left when it is completed at any rate, in milliseconds: some turns
+/// of nodes and two writes to the store, also to one that answers late.
+const LEFT_AT_LATEST_MS: f64 = 800.0;
 
 /// Good answers that one node must have seen before the version gets more.
 const GOOD_LEAST: u32 = 3;
 
-/// Part of the time after which the version gets more without that: too few
-/// requests reach the service to show it.
-const UNPROVED_AFTER: f64 = 0.93;
+/// The time that is left when the version gets more without that, in milliseconds: too
+/// few requests reach the service to show it.
+const LEFT_UNPROVED_MS: f64 = 1_000.0;
 
 /// An operator's order to move a service to a version.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -185,16 +186,17 @@
         #[allow(clippy::cast_precision_loss)]
         let passed_ms = now.mono_ms.saturating_sub(self.ordered_mono_ms) as f64;
         let passed = passed_ms / finish_ms;
-        let is_last_moment =
-            passed_ms + (LEFT_AT_LATEST * finish_ms).min(LEFT_MOST_MS) >= finish_ms;
-        let proved = self.evidence.good() >= GOOD_LEAST || passed >= UNPROVED_AFTER;
+        let left_ms = finish_ms - passed_ms;
+        let is_last_moment = left_ms <= LEFT_AT_LATEST_MS;
+        let is_time_for_all = passed >= ALL_AFTER || left_ms <= LEFT_FOR_ALL_MS;
+        let proved = self.evidence.good() >= GOOD_LEAST || left_ms <= LEFT_UNPROVED_MS;
         let proved = proved && !self.evidence.is_doubtful();
         match self.stage {
             // The operator gets an answer in time; the old version is the safe one.
             Stage::Trial | Stage::All if is_last_moment && self.evidence.is_doubtful() => {
                 Some(Stage::RolledBack)
             }
-            Stage::Trial if passed >= ALL_AFTER && proved => Some(Stage::All),
+            Stage::Trial if is_time_for_all && proved => Some(Stage::All),
             Stage::All if passed >= COMPLETE_AFTER && others_idle && self.is_within_share(now) => {
                 Some(Stage::Completed)
             }
