Keep one back-off, and count the gateway's events in one place

Cause: reading the change once more: the gateway's pauses between calls of the store were the ledger's written again, and three counters stood beside the module that holds the others. Change: hemlockhitch_model::Backoff serves both, with the bounds of each; figures counts refusals, given up requests and connections too. Ruled out: the HTTP clients' builders in hemlockhitch_ports are alike but only moved with the package; key-value stores share the signatures of their trait. Before and after: no behaviour changes, names of metrics and bounds stay.

--- a/crates/hemlockhitch_gateway/src/attempt/admit.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/admit.rs
@@ -16,6 +16,7 @@
 use super::answer::Refusal;
 use super::job::{Arrived, InHand, Job};
 use crate::dialect::{Dialect, Terms};
+use crate::figures;
 
 /// When a caller is told to come back to a node that knows no configuration or
 /// none that is fresh, in milliseconds: another node probably takes the request.
@@ -79,7 +80,7 @@
                     reason,
                     "refused"
                 );
-                metrics::counter!("gateway_refused", "reason" => reason).increment(1);
+                figures::refused(reason);
                 Admission::Refused(refusal)
             }
         }
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -276,7 +276,7 @@
             took_ms = now.mono_ms.saturating_sub(job.arrived.mono_ms),
             "request given up"
         );
-        metrics::counter!("gateway_given_up", "reason" => refusal.message()).increment(1);
+        figures::given_up(refusal.message());
         refusal.into_response()
     }
 
--- a/crates/hemlockhitch_gateway/src/connection/open.rs
+++ b/crates/hemlockhitch_gateway/src/connection/open.rs
@@ -10,6 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::figures;
+
 use super::{Connection, SendError, TaskGuard};
 
 /// How long a connection may take: many times the way between data centres.
@@ -47,7 +49,7 @@
             tracing::debug!(event = "HH1230", %address, %error, "connection to an endpoint broke");
         }
     });
-    metrics::counter!("gateway_connections_opened").increment(1);
+    figures::connection_opened();
     Ok(Connection {
         endpoint,
         sender,
--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -7,7 +7,7 @@
 mod backoff;
 mod source;
 
-pub(crate) use backoff::Backoff;
+pub(crate) use backoff::store_backoff;
 
 use std::time::Duration;
 
@@ -40,7 +40,7 @@
     let mut follower = Follower::default();
     let mut clients = FeedClients::default();
     let mut sources = Sources::default();
-    let mut backoff = Backoff::new();
+    let mut backoff = store_backoff();
     let settings = shared.settings().clone();
     loop {
         let sent = shared.now();
@@ -91,7 +91,7 @@
             }
             Err(error) => {
                 follower.lose(&shared, &error.to_string());
-                sleep(backoff.next()).await;
+                sleep(backoff.next_pause()).await;
             }
         }
     }
--- a/crates/hemlockhitch_gateway/src/figures/mod.rs
+++ b/crates/hemlockhitch_gateway/src/figures/mod.rs
@@ -83,6 +83,21 @@
     }
 }
 
+/// Counts a request that is refused at its arrival.
+pub(crate) fn refused(reason: &'static str) {
+    metrics::counter!("gateway_refused", "reason" => reason).increment(1);
+}
+
+/// Counts a request that ends without an answer of an endpoint.
+pub(crate) fn given_up(reason: &'static str) {
+    metrics::counter!("gateway_given_up", "reason" => reason).increment(1);
+}
+
+/// Counts a connection to an endpoint.
+pub(crate) fn connection_opened() {
+    metrics::counter!("gateway_connections_opened").increment(1);
+}
+
 /// Counts a try and the time that its request has left.
 pub(crate) fn sending(work: Work, left_ms: u64) {
     metrics::counter!("gateway_tries").increment(1);
--- a/crates/hemlockhitch_gateway/src/presence.rs
+++ b/crates/hemlockhitch_gateway/src/presence.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use crate::dialect::Dialect;
-use crate::feed::Backoff;
+use crate::feed::store_backoff;
 use crate::state::Shared;
 
 /// Where nodes stand in the store.
@@ -49,7 +49,7 @@
     };
     // A struct of strings and a number always has a JSON form.
     let record = serde_json::to_string(&record).unwrap_or_default();
-    let mut backoff = Backoff::new();
+    let mut backoff = store_backoff();
     loop {
         match enter(&store, &node, &record).await {
             Ok(lease) => {
@@ -63,7 +63,7 @@
                 tracing::debug!(event = "HH1211", %error, "node not entered in the list of nodes");
             }
         }
-        sleep(backoff.next()).await;
+        sleep(backoff.next_pause()).await;
     }
 }
 
--- a/crates/hemlockhitch_gateway/src/steward/mod.rs
+++ b/crates/hemlockhitch_gateway/src/steward/mod.rs
@@ -21,7 +21,7 @@
 use tokio::time::sleep;
 
 use crate::dialect::Dialect;
-use crate::feed::Backoff;
+use crate::feed::store_backoff;
 use crate::state::Shared;
 
 /// How often the steward looks for something to do: a fraction of the time in which
@@ -50,13 +50,13 @@
         due_mono_ms: HashMap::new(),
         asked_mono_ms: HashMap::new(),
     };
-    let mut backoff = Backoff::new();
+    let mut backoff = store_backoff();
     loop {
         sleep(INTERVAL).await;
         if steward.act().await {
             backoff.reset();
         } else {
-            sleep(backoff.next()).await;
+            sleep(backoff.next_pause()).await;
         }
     }
 }
--- a/crates/hemlockhitch_ledger/src/routed/mod.rs
+++ b/crates/hemlockhitch_ledger/src/routed/mod.rs
@@ -1,6 +1,5 @@
 //! The requester's side of the ledger: finds the owner and repeats lost calls.
 
-mod backoff;
 mod release;
 mod settings;
 
@@ -18,7 +17,6 @@
 use crate::shard::{ShardOwner, ShardOwners};
 use crate::{Ledger, LedgerError, LedgerErrorKind};
 
-use backoff::Backoff;
 use release::{ReleaseGuard, Releases};
 
 /// A ledger whose calls go to the owners of its shards.
@@ -116,7 +114,7 @@
         limit: Duration,
     ) -> Result<LedgerReply, FailedCall> {
         let start = Instant::now();
-        let mut backoff = Backoff::new(&self.inner.settings);
+        let mut backoff = self.inner.settings.backoff();
         let mut is_in_doubt = false;
         loop {
             let elapsed = start.elapsed();
--- a/crates/hemlockhitch_ledger/src/routed/settings.rs
+++ b/crates/hemlockhitch_ledger/src/routed/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of the requester's side.
 
+use hemlockhitch_model::Backoff;
+
 /// Settings of a [`RoutedLedger`](crate::RoutedLedger).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RoutedSettings {
@@ -78,6 +80,13 @@
     }
 }
 
+impl RoutedSettings {
+    /// Returns the pauses between the tries of a call.
+    pub(super) fn backoff(&self) -> Backoff {
+        Backoff::new(self.first_pause_ms, self.max_pause_ms)
+    }
+}
+
 impl Default for RoutedSettings {
     fn default() -> Self {
         Self::new()
--- a/crates/hemlockhitch_model/src/lib.rs
+++ b/crates/hemlockhitch_model/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod arena;
+mod backoff;
 mod class;
 mod hash;
 mod id;
@@ -22,6 +23,7 @@
 pub use arena::{
     DataCentreKey, EndpointKey, ModelKey, OrganisationKey, RouteKey, ServiceKey, VersionKey,
 };
+pub use backoff::Backoff;
 pub use class::{Class, ParseClassError};
 pub use hash::{hash_bytes, mix};
 pub use id::{ChangeId, ParseIdError, RequestId};
