Weigh work on prompts by model, and take the exposure share from the settings

The cost of an endpoint counted a pending prompt token of the largest model like one of the smallest, which takes a tenth of its time, and counted cached parts of a prompt as work.

--- a/crates/hemlockhitch_gateway/src/attempt/slot.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/slot.rs
@@ -5,7 +5,9 @@
 use hemlockhitch_model::{Clock, EndpointKey, EndpointName, Now, VersionName};
 use hemlockhitch_routing::fleet::Sign;
 use hemlockhitch_routing::roll_out::{Observation, RollOut, Stage};
-use hemlockhitch_routing::selection::{Prompt, SelectionRequest, VersionFilter, choose_endpoint};
+use hemlockhitch_routing::selection::{
+    Choice, Prompt, SelectionRequest, VersionFilter, choose_endpoint,
+};
 use hemlockhitch_routing::{hash_bytes, mix};
 
 use super::context::{AttemptHistory, RequestContext};
@@ -57,6 +59,7 @@
         let model_hash = model.map_or(0, hash_bytes);
         let prompt = (ctx.metadata.prompt_tokens > 0).then_some(Prompt {
             model_hash,
+            model_size: history.model_size,
             parts: &ctx.metadata.parts,
             tokens: ctx.metadata.prompt_tokens,
             cache_ttl_ms: settings.prompt_cache_ttl_ms,
@@ -74,9 +77,10 @@
         };
         let choose =
             |filter: VersionFilter<'_>| choose_endpoint(&state.fleet, &request, filter, now);
-        let endpoint = choose_version(state, ctx, choose, now)?;
+        let choice = choose_version(state, ctx, choose, now)?;
+        let endpoint = choice.endpoint;
         let endpoint_state = state.fleet.get_mut(endpoint)?;
-        let pending_prefill_tokens = ctx.metadata.prompt_tokens;
+        let pending_prefill_tokens = choice.prefill_cost_tokens;
         endpoint_state.in_flight += 1;
         endpoint_state.pending_prefill_tokens += pending_prefill_tokens;
         if endpoint_state.is_cold(now) {
@@ -202,9 +206,9 @@
 fn choose_version<D: Dialect, C: Clock>(
     state: &State,
     ctx: &RequestContext<D, C>,
-    choose: impl Fn(VersionFilter<'_>) -> Option<EndpointKey>,
+    choose: impl Fn(VersionFilter<'_>) -> Option<Choice>,
     now: Now,
-) -> Option<EndpointKey> {
+) -> Option<Choice> {
     let Some(roll_out) = state.roll_outs.get(&ctx.service) else {
         return choose(VersionFilter::Any);
     };
--- a/crates/hemlockhitch_gateway/src/feed/apply.rs
+++ b/crates/hemlockhitch_gateway/src/feed/apply.rs
@@ -2,7 +2,7 @@
 
 use hemlockhitch_model::{Clock, Now, ServiceName};
 use hemlockhitch_ports::key_value::Entry;
-use hemlockhitch_routing::roll_out::{Order, RollOut, Stage};
+use hemlockhitch_routing::roll_out::{RollOut, Stage};
 
 use crate::controller;
 use crate::dialect::{Dialect, StoredValue, Subject};
@@ -74,7 +74,9 @@
             tracing::debug!(event = "HH1205", %name, ?key, draining, "endpoint updated");
         }
         (Subject::RollOut(service), StoredValue::RollOut(order)) => {
-            if set_order(&mut state, &service, order, now) && is_live {
+            let exposure_share = node_context.settings().exposure_share;
+            let roll_out = RollOut::new(order, now).with_exposure_share(exposure_share);
+            if set_roll_out(&mut state, &service, roll_out) && is_live {
                 state.unpublished_pins.push(service);
             }
         }
@@ -101,16 +103,17 @@
     }
 }
 
-/// Applies an order; returns whether it is new.
-fn set_order(state: &mut State, service: &ServiceName, order: Order, now: Now) -> bool {
+/// Starts a roll-out; returns whether its order is new.
+fn set_roll_out(state: &mut State, service: &ServiceName, roll_out: RollOut) -> bool {
     if let Some(current) = state.roll_outs.get(service)
-        && *current.order() == order
+        && current.order() == roll_out.order()
     {
         return false;
     }
-    tracing::info!(event = "HH1208", %service, target = %order.target, "roll-out ordered");
+    let target = &roll_out.order().target;
+    tracing::info!(event = "HH1208", %service, %target, "roll-out ordered");
     let baseline = state.baselines.get(service).cloned().unwrap_or_default();
-    let mut roll_out = RollOut::new(order, now).with_baseline(baseline);
+    let mut roll_out = roll_out.with_baseline(baseline);
     if let Some((target, stage)) = state.published_status.get(service)
         && *target == roll_out.order().target.as_str()
         && stage.is_final()
--- a/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
+++ b/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
@@ -41,7 +41,8 @@
     /// Requests that were sent and not answered yet.
     #[prost(uint32, tag = "2")]
     pub requests: u32,
-    /// Prompt tokens of the requests that have returned no event yet.
+    /// Work on the prompts of the requests that have returned no event yet, as the number
+    /// of prompt tokens of the smallest model.
     #[prost(uint32, tag = "3")]
     pub unread_tokens: u32,
 }
--- a/crates/hemlockhitch_gateway/src/settings.rs
+++ b/crates/hemlockhitch_gateway/src/settings.rs
@@ -27,6 +27,9 @@
     /// Requests per second that all nodes together may send to a cold endpoint in
     /// addition.
     pub cold_allowance: f64,
+    /// Share of a service's requests, from 0 to 1, that a bad version may get during its
+    /// roll-out.
+    pub exposure_share: f64,
     /// How long a prompt part stays in an endpoint's cache, in milliseconds.
     pub prompt_cache_ttl_ms: u64,
     /// How long a session stays on its version after a request, in milliseconds.
@@ -59,6 +62,7 @@
             peer_watch_ms: 500,
             cold_factor: 1.0,
             cold_allowance: 0.0,
+            exposure_share: 0.15,
             prompt_cache_ttl_ms: 10_000,
             session_ttl_ms: 5_000,
             deletion_grace_ms: 2_200,
@@ -130,6 +134,14 @@
         self
     }
 
+    /// Sets the share of a service's requests, from 0 to 1, that a bad version may get
+    /// during its roll-out.
+    #[must_use]
+    pub fn exposure_share(mut self, exposure_share: f64) -> Self {
+        self.exposure_share = exposure_share;
+        self
+    }
+
     /// Sets how long a prompt part stays in an endpoint's cache, in milliseconds.
     #[must_use]
     pub fn prompt_cache_ttl_ms(mut self, prompt_cache_ttl_ms: u64) -> Self {
--- a/crates/hemlockhitch_routing/src/fleet/endpoint.rs
+++ b/crates/hemlockhitch_routing/src/fleet/endpoint.rs
@@ -32,8 +32,8 @@
 pub struct Outstanding {
     /// Requests that were sent and have no complete response yet.
     pub requests: u32,
-    /// Prompt tokens of the requests that are not prefilled yet, that is, for which no
-    /// event was received.
+    /// Work on the prompts that are not prefilled yet, that is, of the requests for which
+    /// no event was received, as the number of prompt tokens of the smallest model.
     pub pending_prefill_tokens: u64,
 }
 
@@ -46,7 +46,8 @@
     pub circuit_breaker: CircuitBreaker,
     /// This node's outstanding requests at the endpoint.
     pub in_flight: u32,
-    /// Prompt tokens of this node's requests that the endpoint has not prefilled yet.
+    /// Work on the prompts of this node's requests that the endpoint has not prefilled
+    /// yet, as the number of prompt tokens of the smallest model.
     pub pending_prefill_tokens: u64,
     /// Rate limiter for this node's requests while the endpoint is cold.
     pub cold_limiter: RateLimiter,
@@ -138,7 +139,8 @@
         own + reported.max(peer)
     }
 
-    /// Estimates the prompt tokens that the endpoint has not prefilled yet.
+    /// Estimates the work on prompts that the endpoint has not prefilled yet, as the number
+    /// of prompt tokens of the smallest model.
     #[must_use]
     pub fn total_pending_prefill_tokens(&self, now: Now) -> f64 {
         let peer = self.peer_requests.map_or(0.0, |(outstanding, at)| {
--- a/crates/hemlockhitch_routing/src/roll_out/mod.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/mod.rs
@@ -19,12 +19,14 @@
 use hemlockhitch_model::{hash_bytes, mix};
 use share::TargetShare;
 
-/// Percentage of sessions that use the new version during the trial. Together with the
-/// requests from [`ALL_AFTER_RATIO`] on, they stay below the share of all requests that
-/// a bad version may get (15 percent), also if no node can detect that the version is
-/// bad.
+/// Percentage of sessions that use the new version during the trial. It leaves room for
+/// the requests after the trial in the share of all requests that a bad version may get,
+/// also if no node can detect that the version is bad.
 const TRIAL_PERCENT: u64 = 6;
 
+/// Share of a service's requests that a bad version may get, unless another one is set.
+const DEFAULT_EXPOSURE_SHARE: f64 = 0.15;
+
 /// Time for which a trial waits for the other nodes to publish their active sessions,
 /// in milliseconds: several times the duration of a write to the store and its watch
 /// notification.
@@ -73,6 +75,7 @@
     /// Sessions that were active at the order and keep their version.
     pinned: HashSet<u64>,
     share: TargetShare,
+    exposure_share: f64,
 }
 
 impl RollOut {
@@ -86,9 +89,18 @@
             evidence: Evidence::default(),
             pinned: HashSet::new(),
             share: TargetShare::default(),
+            exposure_share: DEFAULT_EXPOSURE_SHARE,
         }
     }
 
+    /// Sets the share of the service's requests, from 0 to 1, that a bad version may get
+    /// during the roll-out.
+    #[must_use]
+    pub fn with_exposure_share(mut self, exposure_share: f64) -> Self {
+        self.exposure_share = exposure_share;
+        self
+    }
+
     /// Sets the baseline, the evidence gathered on the service's versions before the
     /// order.
     #[must_use]
@@ -176,7 +188,8 @@
     /// roll-out; the other versions then keep theirs until the final decision.
     fn fits_share(&self, now: Now) -> bool {
         let end_mono_ms = self.ordered_mono_ms + self.order.duration_ms;
-        self.share.can_take_all(end_mono_ms, now)
+        self.share
+            .can_take_all(self.exposure_share, end_mono_ms, now)
     }
 
     /// Maps a session to one of a hundred buckets, the same on every node.
--- a/crates/hemlockhitch_routing/src/roll_out/share.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/share.rs
@@ -2,9 +2,9 @@
 
 use hemlockhitch_model::Now;
 
-/// Maximum share of the requests for the new version during the roll-out: the
-/// platform's 15 percent, less a margin for the last writes to the store.
-const MAX_TARGET_SHARE: f64 = 0.14;
+/// Margin below the share of requests that a bad version may get, for the last writes to
+/// the store.
+const SHARE_MARGIN: f64 = 0.01;
 
 /// Window over which the request rate is measured, in milliseconds: short compared with
 /// the last part of a roll-out, long compared with the time between requests.
@@ -38,12 +38,13 @@
     }
 
     /// Returns whether the new version may get all requests until `end_mono_ms`,
-    /// assuming the current request rate.
-    pub(super) fn can_take_all(&self, end_mono_ms: u64, now: Now) -> bool {
+    /// assuming the current request rate. `max_share` is the share of the service's
+    /// requests that a bad version may get.
+    pub(super) fn can_take_all(&self, max_share: f64, end_mono_ms: u64, now: Now) -> bool {
         #[allow(clippy::cast_precision_loss)]
         let remaining_ms = end_mono_ms.saturating_sub(now.mono_ms) as f64;
         let expected_requests = self.rate_per_ms * remaining_ms;
         f64::from(self.target_requests) + expected_requests
-            <= MAX_TARGET_SHARE * (f64::from(self.total_requests) + expected_requests)
+            <= (max_share - SHARE_MARGIN) * (f64::from(self.total_requests) + expected_requests)
     }
 }
--- a/crates/hemlockhitch_routing/src/selection/cost.rs
+++ b/crates/hemlockhitch_routing/src/selection/cost.rs
@@ -1,11 +1,21 @@
-//! The estimated cost of sending a request to an endpoint, in prompt tokens.
+//! The estimated cost of sending a request to an endpoint, in prompt tokens of the
+//! smallest model.
+//!
+//! It is made for a load of prompts for several models, where the prefill of one long
+//! prompt for a large model blocks an endpoint for longer than dozens of short ones.
 
 use hemlockhitch_model::{EndpointKey, Key, Now};
 
-use super::{Prompt, SelectionRequest};
+use super::{Choice, Prompt, SelectionRequest};
 use crate::fleet::Endpoint;
 use hemlockhitch_model::mix;
 
+/// Factor on the prefill time of a prompt from one model size of a route to the next.
+const SIZE_COST_FACTOR: u64 = 3;
+
+/// Model size from which the factor no longer grows.
+const MAX_WEIGHTED_SIZE: usize = 3;
+
 /// Cost of each running request, as the number of prompt tokens that take as long to
 /// prefill.
 const RUNNING_COST_TOKENS: f64 = 400.0;
@@ -44,22 +54,28 @@
     candidates: impl Iterator<Item = (EndpointKey, &'a Endpoint)>,
     request: &SelectionRequest<'_>,
     now: Now,
-) -> Option<EndpointKey> {
+) -> Option<Choice> {
     let candidates: Vec<_> = candidates.collect();
     let affinity_key = request
         .prompt
         .and_then(|prompt| affinity_endpoint(&candidates, &prompt));
-    candidates
+    let has_affinity = |key: EndpointKey| affinity_key == Some(key);
+    let (_, key, endpoint) = candidates
         .iter()
         .map(|(key, endpoint)| {
-            let has_affinity = affinity_key == Some(*key);
-            (
-                cost_tokens(*key, endpoint, has_affinity, request, now),
-                *key,
-            )
+            let cost = cost_tokens(*key, endpoint, has_affinity(*key), request, now);
+            (cost, *key, endpoint)
         })
-        .min_by(|a, b| a.0.total_cmp(&b.0))
-        .map(|(_, key)| key)
+        .min_by(|a, b| a.0.total_cmp(&b.0))?;
+    let prefill_cost = request.prompt.map_or(0.0, |prompt| {
+        prefill_cost_tokens(endpoint, has_affinity(key), &prompt, now)
+    });
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let prefill_cost_tokens = prefill_cost as u64;
+    Some(Choice {
+        endpoint: key,
+        prefill_cost_tokens,
+    })
 }
 
 fn cost_tokens(
@@ -88,15 +104,27 @@
         return base_cost + used_ratio * NO_PROMPT_FULL_COST_TOKENS + remote_cost;
     };
     let remote_cost = if is_remote { REMOTE_COST_TOKENS } else { 0.0 };
-    let uncached = as_f64(prompt.tokens) - cached_tokens(endpoint, has_affinity, &prompt, now);
     base_cost
         + remote_cost
-        + uncached.max(0.0)
+        + prefill_cost_tokens(endpoint, has_affinity, &prompt, now)
         + endpoint.total_pending_prefill_tokens(now)
         + endpoint.requests(now) * RUNNING_COST_TOKENS
         + endpoint.waiting(now) * WAITING_COST_TOKENS
 }
 
+/// Returns the cost of the prefill of the parts that the endpoint has not cached.
+fn prefill_cost_tokens(
+    endpoint: &Endpoint,
+    has_affinity: bool,
+    prompt: &Prompt<'_>,
+    now: Now,
+) -> f64 {
+    let uncached = as_f64(prompt.tokens) - cached_tokens(endpoint, has_affinity, prompt, now);
+    let weighted_size = prompt.model_size.min(MAX_WEIGHTED_SIZE);
+    let factor = (0..weighted_size).fold(1, |factor, _| factor * SIZE_COST_FACTOR);
+    uncached.max(0.0) * as_f64(factor)
+}
+
 /// Estimates how many tokens of a prompt the endpoint has in its cache.
 fn cached_tokens(endpoint: &Endpoint, has_affinity: bool, prompt: &Prompt<'_>, now: Now) -> f64 {
     let recent_parts = prompt.parts.iter().take_while(|part| {
--- a/crates/hemlockhitch_routing/src/selection/mod.rs
+++ b/crates/hemlockhitch_routing/src/selection/mod.rs
@@ -26,6 +26,9 @@
 pub struct Prompt<'a> {
     /// Hash of the name of the model that processes the prompt.
     pub model_hash: u64,
+    /// Index of the model among the sizes of the route, smallest first; 0 if the caller
+    /// names the model.
+    pub model_size: usize,
     /// Parts of the prompt, in order.
     pub parts: &'a [PromptPart],
     /// Total length in tokens.
@@ -74,6 +77,16 @@
     pub tie_breaker: u64,
 }
 
+/// An endpoint that was chosen for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Estimated work of the endpoint before the request's first event, as the number of
+    /// prompt tokens of the smallest model; 0 without a prompt.
+    pub prefill_cost_tokens: u64,
+}
+
 /// Chooses an endpoint among those whose version may serve the request; `None` if no
 /// endpoint may get it now.
 #[must_use]
@@ -82,7 +95,7 @@
     request: &SelectionRequest<'_>,
     filter: VersionFilter<'_>,
     now: Now,
-) -> Option<EndpointKey> {
+) -> Option<Choice> {
     let candidates: Vec<(EndpointKey, &Endpoint)> = fleet
         .eligible(request.service)
         .filter(|(_, endpoint)| filter.allows(&endpoint.entry.version))
--- a/crates/hemlockhitch_routing/tests/roll_out.rs
+++ b/crates/hemlockhitch_routing/tests/roll_out.rs
@@ -326,3 +326,44 @@
     roll_out.advance(Stage::RolledBack);
     assert!((0..1_000).all(|session| !uses_target(&roll_out, session, Some(&new), at(17_000))));
 }
+
+/// Guards against exposure to a bad version that no node can detect, where the platform
+/// allows it less than 15 percent of the requests.
+#[test]
+fn undetected_version_stays_within_the_exposure_share() {
+    for exposure_share in [0.15, 0.12, 0.1] {
+        let mut rng = Rng::with_seed(5);
+        let mut roll_out = RollOut::new(order(), at(0)).with_exposure_share(exposure_share);
+        let mut target_requests = 0;
+        let mut all_requests = 0;
+        for now_ms in (0..DURATION_MS).step_by(20) {
+            let now = at(now_ms);
+            let is_target = uses_target(&roll_out, rng.u64(..), None, now);
+            let version: VersionName = if is_target { "v2" } else { "v1" }.into();
+            roll_out.record_request(&version, now);
+            roll_out.evidence().record(good_response(is_target), now);
+            target_requests += u32::from(is_target);
+            all_requests += 1;
+            if let Some(stage) = roll_out.next_stage(false, now) {
+                roll_out.advance(stage);
+            }
+        }
+        let share = f64::from(target_requests) / f64::from(all_requests);
+        assert!(
+            share <= exposure_share,
+            "{share} of at most {exposure_share}"
+        );
+        assert_eq!(roll_out.stage(), Stage::Completed);
+    }
+}
+
+fn good_response(is_target: bool) -> Observation {
+    Observation {
+        work_kind_hash: 1,
+        work_units: 7_000,
+        is_target,
+        failed: false,
+        took_ms: 130,
+        never_slow_below_ms: 125,
+    }
+}
--- a/crates/hemlockhitch_routing/tests/selection.rs
+++ b/crates/hemlockhitch_routing/tests/selection.rs
@@ -34,6 +34,7 @@
         tried: &[],
         prompt: (!parts.is_empty()).then_some(Prompt {
             model_hash: 7,
+            model_size: 0,
             parts,
             tokens,
             cache_ttl_ms: 8_000,
@@ -41,7 +42,8 @@
         cold_rate: None,
         tie_breaker,
     };
-    choose_endpoint(fleet, &request, VersionFilter::Any, now)
+    let choice = choose_endpoint(fleet, &request, VersionFilter::Any, now);
+    choice.map(|choice| choice.endpoint)
 }
 
 fn name(fleet: &Fleet, key: Option<EndpointKey>) -> String {
@@ -175,10 +177,12 @@
         tie_breaker: 1,
     };
     let v2 = "v2".into();
-    let only = choose_endpoint(&fleet, &request, VersionFilter::Only(&v2), at(0));
-    assert_eq!(name(&fleet, only), "new");
-    let others = choose_endpoint(&fleet, &request, VersionFilter::Except(&v2), at(0));
-    assert_eq!(name(&fleet, others), "e-0");
+    let chosen = |filter| {
+        let choice = choose_endpoint(&fleet, &request, filter, at(0));
+        name(&fleet, choice.map(|choice| choice.endpoint))
+    };
+    assert_eq!(chosen(VersionFilter::Only(&v2)), "new");
+    assert_eq!(chosen(VersionFilter::Except(&v2)), "e-0");
 }
 
 #[test]
@@ -238,3 +242,99 @@
         }
     }
 }
+
+/// Load: prompts of three lengths arrive at endpoints that prefill them one after the
+/// other, and each answer of the smallest model is followed by one of the largest with a
+/// probability of two fifths. The largest takes ten times as long for a token.
+struct PrefillLoad {
+    fleet: Fleet,
+    /// When each endpoint has prefilled all its prompts, in milliseconds.
+    busy_until_ms: HashMap<EndpointKey, f64>,
+    /// Prompts under way: time of the first event, endpoint and counted work.
+    under_way: Vec<(f64, EndpointKey, u64)>,
+    late: u32,
+    requests: u32,
+}
+
+impl PrefillLoad {
+    /// Tokens that an endpoint prefills in a millisecond for the smallest and the largest
+    /// model.
+    const TOKENS_PER_MS: [f64; 2] = [250.0, 25.0];
+
+    /// Time to a first event without any queue, in milliseconds.
+    const UNLOADED_MS: f64 = 70.0;
+
+    fn send(&mut self, tokens: u64, is_largest: bool, id: u64, now_ms: f64) -> f64 {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let now = at(now_ms as u64);
+        for (_, key, work) in self.under_way.extract_if(.., |(at, ..)| *at <= now_ms) {
+            let endpoint = self.fleet.get_mut(key).expect("known");
+            endpoint.pending_prefill_tokens -= work;
+            endpoint.in_flight -= 1;
+        }
+        let service = "models".into();
+        let local_data_centre = "a".into();
+        let prompt_part = PromptPart { id, tokens };
+        let request = SelectionRequest {
+            service: &service,
+            local_data_centre: &local_data_centre,
+            tried: &[],
+            prompt: Some(Prompt {
+                model_hash: u64::from(is_largest),
+                model_size: if is_largest { 2 } else { 0 },
+                parts: &[prompt_part],
+                tokens,
+                cache_ttl_ms: 8_000,
+            }),
+            cold_rate: None,
+            tie_breaker: id,
+        };
+        let choice = choose_endpoint(&self.fleet, &request, VersionFilter::Any, now);
+        let choice = choice.expect("a choice");
+        #[allow(clippy::cast_precision_loss)]
+        let work_ms = tokens as f64 / Self::TOKENS_PER_MS[usize::from(is_largest)];
+        let busy_until_ms = self.busy_until_ms.entry(choice.endpoint).or_default();
+        *busy_until_ms = busy_until_ms.max(now_ms) + work_ms;
+        let first_event_ms = *busy_until_ms + Self::UNLOADED_MS;
+        let endpoint = self.fleet.get_mut(choice.endpoint).expect("known");
+        endpoint.in_flight += 1;
+        endpoint.pending_prefill_tokens += choice.prefill_cost_tokens;
+        self.under_way
+            .push((first_event_ms, choice.endpoint, choice.prefill_cost_tokens));
+        first_event_ms - now_ms
+    }
+
+    fn record(&mut self, took_ms: f64, objective_ms: f64) {
+        self.requests += 1;
+        self.late += u32::from(took_ms > objective_ms);
+    }
+}
+
+/// Guards against queues behind long prompts of the largest model, which count for ten
+/// times their length.
+#[test]
+fn short_prompts_avoid_endpoints_that_prefill_for_the_largest_model() {
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut load = PrefillLoad {
+        fleet: fleet(9),
+        busy_until_ms: HashMap::new(),
+        under_way: Vec::new(),
+        late: 0,
+        requests: 0,
+    };
+    let mut now_ms = 0.0;
+    for id in 0..6_000 {
+        now_ms += 13.0 * (0.5 + rng.f64());
+        let tokens = [700, 2_400, 9_000][rng.usize(..3)];
+        let took_ms = load.send(tokens, false, id, now_ms);
+        if rng.u32(..5) < 2 {
+            load.send(tokens, true, id, now_ms);
+        }
+        load.record(took_ms, 300.0);
+    }
+    let late_ratio = f64::from(load.late) / f64::from(load.requests);
+    assert!(
+        late_ratio < 0.05,
+        "{late_ratio} of the first events are late"
+    );
+}
