--- a/crates/hemlockhitch/tests/processes/failures/mod.rs
+++ b/crates/hemlockhitch/tests/processes/failures/mod.rs
@@ -8,6 +8,7 @@
 
 use std::cell::RefCell;
 
+use hemlockhitch_client::HttpError;
 use hemlockhitch_standin::caller::CallReply;
 use http::Method;
 use serde_json::json;
@@ -27,12 +28,12 @@
     let last_reason = RefCell::new(String::new());
     wait_for("the hold gets a final response", || async {
         let reply = hold_once(fleet, node, key).await;
-        let refusal = reply.as_ref().and_then(CallReply::refusal);
+        let refusal = reply.as_ref().ok().and_then(CallReply::refusal);
         let is_retryable = refusal.is_some_and(|refusal| refusal.retry_after_ms.is_some());
         let retry_reason = match reply {
-            Some(reply) if !is_retryable => return Some((reply.status, reply.body)),
-            Some(reply) => format!("{} {}", reply.status, reply.body),
-            None => "no response".to_owned(),
+            Ok(reply) if !is_retryable => return Some((reply.status, reply.body)),
+            Ok(reply) => format!("{} {}", reply.status, reply.body),
+            Err(error) => format!("no response: {error:?}"),
         };
         if last_reason.replace(retry_reason.clone()) != retry_reason {
             eprintln!("retrying hold {key} on node {node}: {retry_reason}");
@@ -42,11 +43,11 @@
     .await
 }
 
-/// Sends a hold once. Returns `None` if no response was received.
-async fn hold_once(fleet: &Fleet, node: usize, key: &str) -> Option<CallReply> {
+/// Sends a hold once. Returns an error if no response was received.
+async fn hold_once(fleet: &Fleet, node: usize, key: &str) -> Result<CallReply, HttpError> {
     let caller = fleet.caller(node);
     let call = caller.call(Method::POST, "pull/holds", Some(key), key);
-    call.await.ok()
+    call.await
 }
 
 /// Returns how many times the plain services executed calls with this body.
