--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -1,7 +1,7 @@
 //! Follows the store and keeps the node's state up to date.
 //!
-//! One node of each data centre watches the store. The others follow that node, and
-//! fall back to other nodes and to the store when it fails.
+//! The nodes of a data centre follow one of them, the hub; the hubs follow the first of
+//! them, which watches the store. [`SourceSelector`] selects what a node asks next.
 
 mod apply;
 mod backoff;
--- a/crates/hemlockhitch_gateway/src/peer/mod.rs
+++ b/crates/hemlockhitch_gateway/src/peer/mod.rs
@@ -1,6 +1,5 @@
-//! Passes the store's content from the nodes that watch it to the other nodes of their
-//! data centre, so that store calls grow with the number of data centres and not of
-//! nodes.
+//! Passes the store's content from the node that watches it to the others, so that store
+//! calls do not grow with the number of nodes.
 
 mod client;
 mod loads;
--- a/crates/hemlockhitch_routing/src/source.rs
+++ b/crates/hemlockhitch_routing/src/source.rs
@@ -89,7 +89,7 @@
     }
 }
 
-/// What a node asks next.
+/// The source that a node asks next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
     /// The store.
