Bound the complete copies of the store that a node sends

A hundred nodes of a data centre asked their hub for the whole content, about a megabyte each, gave up after 0.8 s and asked again.

Change: a node sends complete copies for at most a quarter of its link in a second; others are told so at once and ask the next node or the store. A call for a complete copy may take 1.5 s longer.

Tests: limits::byte_budget_bounds_the_complete_replies_of_a_node.

--- a/crates/hemlockhitch_gateway/src/peer/client.rs
+++ b/crates/hemlockhitch_gateway/src/peer/client.rs
@@ -15,6 +15,9 @@
 /// How long a call may take beyond the wait that it requests.
 const CALL_MARGIN: Duration = Duration::from_millis(300);
 
+/// The same for a complete reply, which takes long on a slow link.
+const COMPLETE_CALL_MARGIN: Duration = Duration::from_millis(1_500);
+
 /// Connect timeout.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -71,7 +74,12 @@
     ) -> Result<FeedReply, String> {
         let channel = self.channel(address)?;
         let mut client = FeedClient::new(channel).max_decoding_message_size(MAX_REPLY_BYTES);
-        let call_timeout = CALL_MARGIN + Duration::from_millis(request.wait_ms);
+        let margin = if request.revision == 0 {
+            COMPLETE_CALL_MARGIN
+        } else {
+            CALL_MARGIN
+        };
+        let call_timeout = margin + Duration::from_millis(request.wait_ms);
         match timeout(call_timeout, client.follow(request)).await {
             Ok(Ok(reply)) => Ok(read_reply(reply.into_inner())),
             Ok(Err(status)) => Err(status.message().to_owned()),
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -2,11 +2,13 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use hemlockhitch_model::Clock;
+use hemlockhitch_model::{Clock, Now};
 use hemlockhitch_ports::key_value::WatchBatch;
 use hemlockhitch_routing::fleet::Outstanding;
+use hemlockhitch_routing::limits::ByteBudget;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
 use hyper_util::service::TowerToHyperService;
@@ -27,10 +29,18 @@
 /// Maximum wait of a call, in milliseconds.
 const MAX_WAIT_MS: u64 = 5_000;
 
+/// Share of the node's capacity, as one part in this number, that complete replies may
+/// take; the rest is for requests and other replies.
+const COMPLETE_REPLIES_DIVISOR: u64 = 4;
+
+/// Bytes per second that a capacity of one stands for: a megabit per second.
+const BYTES_PER_CAPACITY: u64 = 125_000;
+
 /// Passes on the node's copy of the store.
 #[derive(Debug)]
 struct FeedService<D, C> {
     node_context: NodeContext<D, C>,
+    complete_replies: Mutex<ByteBudget>,
 }
 
 /// Serves the feed on `address`, in the background.
@@ -44,7 +54,12 @@
 ) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
-    let service = FeedServer::new(FeedService { node_context });
+    let capacity = u64::from(node_context.settings().peer_capacity);
+    let bytes_per_s = capacity * BYTES_PER_CAPACITY / COMPLETE_REPLIES_DIVISOR;
+    let service = FeedServer::new(FeedService {
+        node_context,
+        complete_replies: Mutex::new(ByteBudget::new(bytes_per_s)),
+    });
     tokio::spawn(async move {
         loop {
             match listener.accept().await {
@@ -99,11 +114,29 @@
             return Err(Status::unavailable("the node does not know the store yet"));
         };
         let batch = self.node_context.mirror().changes_since(request.revision);
+        if batch.complete && !self.may_send(&batch, now) {
+            return Err(Status::resource_exhausted(
+                "the node sends complete copies to others; ask another source",
+            ));
+        }
         let loads = self.node_context.loads_except(&request.node);
         Ok(Response::new(write_reply(batch, age_ms, &loads)))
     }
 }
 
+impl<D: Dialect, C: Clock> FeedService<D, C> {
+    /// Returns whether a complete batch fits into what the node sends of them.
+    fn may_send(&self, batch: &WatchBatch, now: Now) -> bool {
+        let entries = batch.written.iter();
+        let bytes: usize = entries
+            .map(|entry| entry.key.len() + entry.value.len())
+            .sum();
+        let budget = self.complete_replies.lock();
+        let mut budget = budget.unwrap_or_else(PoisonError::into_inner);
+        budget.take(bytes as u64, now)
+    }
+}
+
 fn write_reply(batch: WatchBatch, age_ms: u64, loads: &EndpointLoads) -> wire::FollowReply {
     let written = batch.written.into_iter().map(|entry| wire::StoredEntry {
         key: entry.key,
--- a/crates/hemlockhitch_routing/src/limits/mod.rs
+++ b/crates/hemlockhitch_routing/src/limits/mod.rs
@@ -1,9 +1,11 @@
 //! A node's share of limits that apply to all nodes together.
 
+mod byte_budget;
 mod cold_rate;
 mod rate_limiter;
 mod retry_budget;
 
+pub use byte_budget::ByteBudget;
 pub use cold_rate::ColdRate;
 pub use rate_limiter::RateLimiter;
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
--- a/crates/hemlockhitch_routing/tests/limits.rs
+++ b/crates/hemlockhitch_routing/tests/limits.rs
@@ -4,7 +4,7 @@
 
 use hemlockhitch_routing::Freshness;
 use hemlockhitch_routing::crash_tracker::CrashTracker;
-use hemlockhitch_routing::limits::{RateLimiter, RetryBudget, RetryBudgetSettings};
+use hemlockhitch_routing::limits::{ByteBudget, RateLimiter, RetryBudget, RetryBudgetSettings};
 use support::at;
 
 const SETTINGS: RetryBudgetSettings = RetryBudgetSettings {
@@ -90,3 +90,17 @@
     crash_tracker.clear(7);
     assert!(!crash_tracker.is_blocked(7, at(80)));
 }
+
+/// Load: a hundred nodes that restart ask one for the whole content of the store, a
+/// megabyte each, over a link of 25 MB/s of which a quarter is for that.
+#[test]
+fn byte_budget_bounds_the_complete_replies_of_a_node() {
+    let mut budget = ByteBudget::new(6_250_000);
+    let granted = (0..100)
+        .filter(|_| budget.take(1_000_000, at(1_000)))
+        .count();
+    assert_eq!(granted, 6, "the others are sent elsewhere at once");
+    assert!(!budget.take(1_000_000, at(1_999)));
+    assert!(budget.take(10_000_000, at(2_000)), "a large one goes alone");
+    assert!(!budget.take(1, at(2_500)));
+}
