--- a/crates/hemlockhitch_routing/src/source.rs
+++ b/crates/hemlockhitch_routing/src/source.rs
@@ -16,10 +16,10 @@
 /// before them has failed.
 const DEPUTY_COUNT: usize = 4;
 
-/// Number of reachable nodes of its own data centre that a node tries.
+/// Maximum number of reachable nodes of its own data centre that a node asks.
 const MAX_CANDIDATES: usize = 3;
 
-/// Number of hubs of other data centres that a node tries.
+/// Maximum number of hubs of other data centres that a node asks.
 const MAX_REMOTE_HUBS: usize = 2;
 
 /// How long an unreachable node is not asked, in milliseconds: until a short disruption
--- a/crates/hemlockhitch_routing/tests/source.rs
+++ b/crates/hemlockhitch_routing/tests/source.rs
@@ -174,7 +174,7 @@
         }
     }
 
-    /// Returns the indices of the two nodes of each data centre that rank first.
+    /// Returns the indices of the hubs: the node of each data centre that ranks first.
     fn leading_nodes(&self) -> Vec<usize> {
         let is_leading = |index: &usize| {
             let mut selector = SourceSelector::new(followable(&self.descriptions[*index]), at(0));
@@ -258,7 +258,7 @@
     }
 }
 
-/// Load: every hub and the nodes that would replace it vanish at once. Two seconds is
+/// Load: the hub of every data centre is killed at the same moment. Two seconds is
 /// the platform's limit for a configuration change in small deployments.
 #[test]
 fn nodes_find_another_source_when_their_hubs_vanish() {
