--- a/crates/hemlockhitch/src/gateway/derived.rs
+++ b/crates/hemlockhitch/src/gateway/derived.rs
@@ -45,6 +45,7 @@
         .cold_factor(bounds.cold_factor)
         .cold_allowance(bounds.cold_allowance)
         .exposure_share(bounds.exposure_share)
+        .max_endpoint_pause_ms(millis(bounds.max_pause_s))
         .prompt_cache_ttl_ms(millis(bounds.part_kept_s))
         .session_ttl_ms(millis(bounds.session_s))
         .deletion_grace_ms(DELETION_GRACE_MS)
--- a/crates/hemlockhitch_client/src/lib.rs
+++ b/crates/hemlockhitch_client/src/lib.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -39,6 +39,8 @@
 pub struct Answer {
     /// Status of the response; not necessarily 2xx.
     pub status: StatusCode,
+    /// The response headers.
+    pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
 }
@@ -88,9 +90,13 @@
     ) -> Result<Answer, HttpError> {
         let exchange = async {
             let response = self.inner.request(request).await?;
-            let status = response.status();
-            let body = response.into_body().collect().await?.to_bytes();
-            Ok(Answer { status, body })
+            let (head, body) = response.into_parts();
+            let body = body.collect().await?.to_bytes();
+            Ok(Answer {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })
         };
         match timeout(request_timeout, exchange).await {
             Err(_) => Err(HttpError::timed_out(request_timeout)),
--- a/crates/hemlockhitch_ctl/src/client/mod.rs
+++ b/crates/hemlockhitch_ctl/src/client/mod.rs
@@ -124,7 +124,7 @@
         }
         Err(match serde_json::from_slice(&response.body) {
             Ok(refusal) => RequestError::Refused(refusal),
-            Err(_) => RequestError::UnexpectedStatus(response),
+            Err(_) => RequestError::UnexpectedStatus(Box::new(response)),
         })
     }
 }
@@ -137,7 +137,7 @@
     /// The node refused the request.
     Refused(AdminError),
     /// The status is not a success and the body is not an [`AdminError`].
-    UnexpectedStatus(Answer),
+    UnexpectedStatus(Box<Answer>),
     /// The body cannot be deserialised.
     Decode(serde_json::Error),
 }
--- a/crates/hemlockhitch_gateway/src/attempt/admit.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/admit.rs
@@ -98,8 +98,8 @@
         if known.is_some() {
             return known;
         }
-        let mut revisions = self.node_context.revisions();
-        let first = revisions.wait_for(|revision| *revision > 0);
+        let mut positions = self.node_context.positions();
+        let first = positions.wait_for(|position| position.revision > 0);
         // The state is read below whether or not the wait succeeded.
         let _ = timeout(FIRST_CONFIGURATION_TIMEOUT, first).await;
         self.node_context.state().catalogue.clone()
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -314,7 +314,7 @@
             }
             (Final::NotRun, _) => Refusal::not_run(
                 "no endpoint took the request; come back later",
-                RETRY_AFTER_NO_ENDPOINT_MS,
+                self.retry_after_ms(ctx),
             ),
             (Final::TimeOver, _) => Refusal::new(
                 StatusCode::GATEWAY_TIMEOUT,
@@ -339,6 +339,15 @@
         refusal.into_response()
     }
 
+    /// Returns after which time an endpoint probably accepts the request, in
+    /// milliseconds.
+    fn retry_after_ms(&self, ctx: &RequestContext<D, C>) -> u64 {
+        let now = self.node_context.now();
+        let state = self.node_context.state();
+        let resumption_ms = state.fleet.earliest_resumption_ms(&ctx.service, now);
+        resumption_ms.unwrap_or(RETRY_AFTER_NO_ENDPOINT_MS)
+    }
+
     fn record_request(&self, ctx: &RequestContext<D, C>) {
         let now = self.node_context.now();
         let settings = self.node_context.settings().retry_budget;
--- a/crates/hemlockhitch_gateway/src/attempt/send.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/send.rs
@@ -103,7 +103,8 @@
             .node_context
             .dialect()
             .parse_response(response.status(), response.headers());
-        self.record_endpoint_state(&slot, &metadata);
+        self.node_context
+            .record_endpoint_state(slot.endpoint, &metadata);
         if metadata.request_id.as_deref() != Some(ctx.metadata.request_id.as_str()) {
             let name = &slot.name;
             tracing::info!(event = "HH1222", request = ctx.metadata.request_id, %name, "response belongs to another request");
@@ -138,19 +139,6 @@
         )
     }
 
-    /// Records the load and the cold period that a response reports about its endpoint.
-    fn record_endpoint_state(&self, slot: &EndpointSlot<D, C>, metadata: &ResponseMetadata) {
-        let now = self.node_context.now();
-        let mut state = self.node_context.state();
-        let Some(endpoint) = state.fleet.get_mut(slot.endpoint) else {
-            return;
-        };
-        if let Some(load) = metadata.load {
-            endpoint.record_load(load, now);
-        }
-        endpoint.record_cold(metadata.cold_remaining_ms, now);
-    }
-
     fn build_request(
         &self,
         ctx: &RequestContext<D, C>,
--- a/crates/hemlockhitch_gateway/src/controller/evidence.rs
+++ b/crates/hemlockhitch_gateway/src/controller/evidence.rs
@@ -51,6 +51,9 @@
 ) -> Option<(EvidenceRecord, Option<LeaseId>)> {
     let mut state = node_context.state();
     let lease = state.lease;
+    if state.lease_is_void {
+        return None;
+    }
     let roll_out = state.roll_outs.get_mut(service)?;
     if roll_out.stage().is_final() {
         return None;
--- a/crates/hemlockhitch_gateway/src/controller/mod.rs
+++ b/crates/hemlockhitch_gateway/src/controller/mod.rs
@@ -6,6 +6,7 @@
 //! it.
 
 mod evidence;
+mod fence;
 mod pins;
 mod record;
 mod reports;
@@ -19,7 +20,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use hemlockhitch_model::{Clock, ServiceName};
+use hemlockhitch_model::{Clock, ServiceName, StorePosition};
 use hemlockhitch_ports::key_value::{Expected, KeyValue, KeyValueError, Swap, SwapOutcome};
 use hemlockhitch_routing::roll_out::{Order, Stage};
 use tokio::time::sleep;
@@ -58,6 +59,8 @@
         store,
         due_mono_ms: HashMap::new(),
         queried_mono_ms: HashMap::new(),
+        epoch: 0,
+        restores_stages: false,
     };
     let mut backoff = store_backoff();
     loop {
@@ -78,11 +81,26 @@
     due_mono_ms: HashMap<(ServiceName, Stage), u64>,
     /// When endpoints were last asked whether they are idle.
     queried_mono_ms: HashMap<ServiceName, u64>,
+    /// Epoch of the store to which `due_mono_ms` refers.
+    epoch: u64,
+    /// Whether the store has returned from a copy since this node started, so that it
+    /// may lack stages that roll-outs have reached.
+    restores_stages: bool,
 }
 
 impl<D: Dialect, C: Clock, S: KeyValue> RollOutController<D, C, S> {
-    /// Runs one cycle; returns whether the store accepted every write.
+    /// Runs one cycle; returns whether the store accepted every write. While the store
+    /// is in a later epoch than this node knows, nothing is written.
     async fn run_once(&mut self) -> bool {
+        let epoch = self.node_context.mirror().position().epoch;
+        if self.store.epoch() > epoch {
+            return true;
+        }
+        if self.epoch != epoch {
+            self.restores_stages |= self.epoch != 0;
+            self.epoch = epoch;
+            self.due_mono_ms.clear();
+        }
         if let Err(error) = pins::publish(&self.node_context, &self.store).await {
             tracing::warn!(event = "HH1258", %error, "failed to publish pinned sessions");
             return false;
@@ -111,6 +129,11 @@
 
     async fn advance(&mut self, service: &ServiceName) -> Result<(), KeyValueError> {
         evidence::publish(&self.node_context, &self.store, service).await?;
+        if let Some(stage) = self.lost_stage(service)
+            && self.is_due(service, stage)
+        {
+            self.write_stage(service, stage).await?;
+        }
         if let Some(stage) = self.next_stage(service, true)
             && (stage == Stage::RolledBack || self.is_due(service, stage))
             && (self.next_stage(service, false).is_some()
@@ -121,6 +144,18 @@
         self.publish_status_if_due(service).await
     }
 
+    /// Returns the stage that a roll-out has reached if the store lost it with an earlier
+    /// epoch.
+    fn lost_stage(&self, service: &ServiceName) -> Option<Stage> {
+        if !self.restores_stages {
+            return None;
+        }
+        let state = self.node_context.state();
+        let stage = state.roll_outs.get(service)?.stage();
+        let stored = state.stored_stage(service, self.epoch);
+        (stage > Stage::Trial && stored < Some(stage)).then_some(stage)
+    }
+
     fn next_stage(&self, service: &ServiceName, old_endpoints_idle: bool) -> Option<Stage> {
         let state = self.node_context.state();
         let roll_out = state.roll_outs.get(service)?;
@@ -168,24 +203,27 @@
             return Ok(());
         };
         let record = StageRecord::new(&order, stage);
+        let epoch = self.epoch;
+        let fence = fence::current(&self.node_context.mirror());
+        let at = |revision| StorePosition { epoch, revision };
         let swap = Swap {
             key: format!("{STAGE_PREFIX}{service}"),
             expected: known_version.map_or(Expected::Absent, Expected::Version),
             value: Some(record.to_value()),
             lease: None,
         };
-        match self.store.swap(swap).await? {
+        match self.store.swap_fenced(swap, fence).await? {
             SwapOutcome::Written(version) => {
                 tracing::info!(event = "HH1251", %service, target = %order.target, ?stage, "roll-out stage changed");
                 self.node_context
                     .state()
-                    .set_stage(service, record, version);
+                    .set_stage(service, record, at(version));
                 if stage.is_final() {
                     self.publish_status(service, &order, stage).await?;
                 }
             }
             SwapOutcome::Conflict(Some(entry)) => {
-                apply_stage(&mut self.node_context.state(), service, &entry);
+                record::adopt_stage(&mut self.node_context.state(), service, &entry, epoch);
             }
             SwapOutcome::Conflict(None) => {
                 self.node_context.state().stages.remove(service);
@@ -197,8 +235,9 @@
     fn order_and_version(&self, service: &ServiceName) -> Option<(Order, Option<u64>)> {
         let state = self.node_context.state();
         let order = state.roll_outs.get(service)?.order().clone();
-        let known_version = state.stages.get(service).map(|(_, version)| *version);
-        Some((order, known_version))
+        let stored = state.stages.get(service);
+        let stored = stored.filter(|(_, position)| position.epoch == self.epoch);
+        Some((order, stored.map(|(_, position)| position.revision)))
     }
 
     /// Publishes the status of a roll-out to the operator, unless a node has published
--- a/crates/hemlockhitch_gateway/src/controller/pins.rs
+++ b/crates/hemlockhitch_gateway/src/controller/pins.rs
@@ -27,7 +27,13 @@
     node_context: &NodeContext<D, C>,
     store: &impl KeyValue,
 ) -> Result<(), KeyValueError> {
-    let services = std::mem::take(&mut node_context.state().unpublished_pins);
+    let services = {
+        let mut state = node_context.state();
+        if state.lease_is_void {
+            return Ok(());
+        }
+        std::mem::take(&mut state.unpublished_pins)
+    };
     for service in services {
         let Some((record, lease)) = pin_recent_sessions(node_context, &service) else {
             continue;
@@ -46,6 +52,7 @@
 }
 
 /// Pins this node's recent sessions that would be part of the trial, and returns them.
+/// Sessions that were published before are published again.
 fn pin_recent_sessions<D: Dialect, C: Clock>(
     node_context: &NodeContext<D, C>,
     service: &ServiceName,
@@ -55,12 +62,16 @@
     let state = &mut *state;
     let roll_out = state.roll_outs.get_mut(service)?;
     let recent = state.session_affinity.recent(now);
-    let sessions: Vec<u64> = recent
-        .filter(|session| roll_out.is_canary_session(*session))
-        .collect();
+    let published = state.own_pins.get(service).cloned();
+    let sessions: Vec<u64> = published.unwrap_or_else(|| {
+        recent
+            .filter(|session| roll_out.is_canary_session(*session))
+            .collect()
+    });
     if sessions.is_empty() {
         return None;
     }
+    state.own_pins.insert(service.clone(), sessions.clone());
     roll_out.pin(sessions.iter().copied());
     let target = roll_out.order().target.as_str().to_owned();
     Some((PinsRecord { target, sessions }, state.lease))
--- a/crates/hemlockhitch_gateway/src/controller/reports.rs
+++ b/crates/hemlockhitch_gateway/src/controller/reports.rs
@@ -36,6 +36,13 @@
         {
             return false;
         }
+        let now = node_context.now();
+        if old_endpoints
+            .iter()
+            .any(|(_, endpoint)| endpoint.pause_remaining_ms(now) > 0)
+        {
+            return false;
+        }
         let addresses = old_endpoints
             .iter()
             .map(|(key, endpoint)| (*key, endpoint.entry.address));
@@ -65,6 +72,10 @@
             .send(endpoint, address, request)
             .await
             .ok()?;
+        let metadata = node_context
+            .dialect()
+            .parse_response(response.status(), response.headers());
+        node_context.record_endpoint_state(endpoint, &metadata);
         let body = response.into_body().collect().await.ok()?.to_bytes();
         node_context.connection_pool().release(connection, None);
         node_context.dialect().parse_report(&body)
--- a/crates/hemlockhitch_gateway/src/dialect/metadata.rs
+++ b/crates/hemlockhitch_gateway/src/dialect/metadata.rs
@@ -2,6 +2,7 @@
 
 use hemlockhitch_model::{EndpointName, OrganisationName};
 use hemlockhitch_routing::fleet::Load;
+use hemlockhitch_routing::limits::RequestedPause;
 use hemlockhitch_routing::selection::PromptPart;
 
 /// Metadata of a caller's request.
@@ -59,6 +60,12 @@
     pub load: Option<Load>,
     /// Remaining time for which the endpoint is cold, in milliseconds.
     pub cold_remaining_ms: u64,
+    /// Whether the endpoint states that it is leaving.
+    pub leaving: bool,
+    /// The pause that the endpoint asks this node for.
+    pub pause: Option<RequestedPause>,
+    /// Name of the endpoint that responded, if the response states it.
+    pub endpoint: Option<String>,
     /// The endpoint's keepalive time for idle connections, in milliseconds.
     pub keepalive_ms: Option<u64>,
 }
--- a/crates/hemlockhitch_gateway/src/feed/apply.rs
+++ b/crates/hemlockhitch_gateway/src/feed/apply.rs
@@ -9,12 +9,22 @@
 use crate::membership;
 use crate::state::{NodeContext, State};
 
-/// Applies a written key; `is_live` is false for keys that were stored before the node
-/// started to follow the store.
+/// How a key came to be part of what is applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Provenance {
+    /// It was stored before the node started to follow the store.
+    BeforeStart,
+    /// It was written since.
+    Live,
+    /// The store returned from a copy that holds it.
+    Restored,
+}
+
+/// Applies a written key.
 pub(super) fn write<D: Dialect, C: Clock>(
     node_context: &NodeContext<D, C>,
     entry: &Entry,
-    is_live: bool,
+    provenance: Provenance,
     now: Now,
 ) {
     if let Some(node) = entry.key.strip_prefix(membership::NODE_PREFIX) {
@@ -25,7 +35,8 @@
     }
     if let Some(service) = entry.key.strip_prefix(controller::STAGE_PREFIX) {
         let service = ServiceName::from(service);
-        controller::apply_stage(&mut node_context.state(), &service, entry);
+        let epoch = node_context.mirror().position().epoch;
+        controller::apply_stage(&mut node_context.state(), &service, entry, epoch);
         return;
     }
     if let Some(fingerprint) = entry.key.strip_prefix(controller::CRASH_COUNT_PREFIX) {
@@ -46,7 +57,7 @@
         return;
     }
     match node_context.dialect().parse_value(&subject, &entry.value) {
-        Ok(value) => apply_value(node_context, subject, value, is_live, now),
+        Ok(value) => apply_value(node_context, subject, value, provenance, now),
         Err(error) => {
             tracing::warn!(event = "HH1204", key = entry.key, %error, "unreadable stored value ignored");
         }
@@ -57,7 +68,7 @@
     node_context: &NodeContext<D, C>,
     subject: Subject,
     value: StoredValue,
-    is_live: bool,
+    provenance: Provenance,
     now: Now,
 ) {
     let mut state = node_context.state();
@@ -66,6 +77,10 @@
         (Subject::Endpoint(_), StoredValue::Endpoint(entry)) => {
             let name = entry.name.clone();
             let draining = entry.draining;
+            if provenance == Provenance::Restored && state.fleet.is_outdated(&entry, now) {
+                tracing::info!(event = "HH1217", %name, "restored registration of an endpoint that was gone ignored");
+                return;
+            }
             let (key, replaced) = state.fleet.upsert(entry, now);
             drop(state);
             if let Some(replaced) = replaced {
@@ -76,7 +91,7 @@
         (Subject::RollOut(service), StoredValue::RollOut(order)) => {
             let exposure_share = node_context.settings().exposure_share;
             let roll_out = RollOut::new(order, now).with_exposure_share(exposure_share);
-            if set_roll_out(&mut state, &service, roll_out) && is_live {
+            if set_roll_out(&mut state, &service, roll_out) && provenance == Provenance::Live {
                 state.unpublished_pins.push(service);
             }
         }
@@ -120,6 +135,7 @@
     {
         roll_out.advance(*stage);
     }
+    state.own_pins.remove(service);
     state.roll_outs.insert(service.clone(), roll_out);
     state.apply_stored_stage(service);
     true
@@ -132,7 +148,7 @@
     }
     match node_context.dialect().parse_key(key) {
         Subject::Endpoint(name) => {
-            let removed = node_context.state().fleet.remove(&name);
+            let removed = node_context.state().fleet.remove(&name, now);
             if let Some(endpoint) = removed {
                 node_context.connection_pool().close_endpoint(endpoint);
             }
@@ -155,6 +171,21 @@
     }
 }
 
+/// Returns whether a key that a restored copy of the store lacks may be written again by
+/// its owner: an operator, an endpoint or a node.
+pub(super) fn may_be_restored<D: Dialect, C: Clock>(
+    node_context: &NodeContext<D, C>,
+    key: &str,
+) -> bool {
+    if key.starts_with(membership::NODE_PREFIX) {
+        return true;
+    }
+    matches!(
+        node_context.dialect().parse_key(key),
+        Subject::Endpoint(_) | Subject::Evacuation(_) | Subject::RollOut(_)
+    )
+}
+
 /// Returns whether the key's owner may write it again without an operator.
 pub(super) fn may_reappear<D: Dialect, C: Clock>(
     node_context: &NodeContext<D, C>,
--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -6,18 +6,20 @@
 mod apply;
 mod backoff;
 mod bootstrap;
+mod epoch;
 
 pub(crate) use backoff::store_backoff;
 
 use std::time::Duration;
 
-use hemlockhitch_model::{Clock, Now};
+use apply::Provenance;
+use hemlockhitch_model::{Clock, Now, StorePosition};
 use hemlockhitch_ports::key_value::{Entry, KeyValue, WatchBatch};
 use hemlockhitch_routing::source::{Source, SourceSelector};
 use tokio::time::sleep;
 
 use crate::dialect::Dialect;
-use crate::peer::{FeedClients, loads_to_wire};
+use crate::peer::{Applied, FeedClients, loads_to_wire};
 use crate::state::NodeContext;
 use crate::wire;
 
@@ -90,14 +92,23 @@
     }
 
     async fn ask_store(&mut self, sent: Now) {
-        let revision = self.node_context.mirror().revision();
+        let position = self.node_context.mirror().position();
+        let is_of_earlier_epoch = self.store.epoch() > position.epoch;
+        let revision = if is_of_earlier_epoch {
+            0
+        } else {
+            position.revision
+        };
         let watch_ms = self.node_context.settings().watch_ms;
         match self.store.watch(ALL_KEYS, revision, watch_ms).await {
             Ok(batch) => {
                 self.selector.record_store_success();
                 let changed = !batch.written.is_empty() || !batch.deleted.is_empty();
-                self.follower.apply_batch(&self.node_context, batch, sent);
-                if changed {
+                let applied = self
+                    .follower
+                    .apply_batch(&self.node_context, batch, None, sent);
+                // Otherwise the store is listed at once, as its epoch is now known.
+                if changed && applied {
                     sleep(BATCH_DELAY).await;
                 }
             }
@@ -110,10 +121,10 @@
     }
 
     async fn ask_peer(&mut self, address: &str, is_local: bool, sent: Now) {
-        let revision = self.node_context.mirror().revision();
+        let position = self.node_context.mirror().position();
         let settings = self.node_context.settings();
         let watch_ms = match (self.selector.is_searching(), is_local) {
-            (true, _) if revision > 0 => 0,
+            (true, _) if position.revision > 0 => 0,
             (_, true) => settings.peer_watch_ms,
             (_, false) => REMOTE_WATCH_MS,
         };
@@ -123,20 +134,28 @@
             Vec::new()
         };
         let request = wire::FollowRequest {
-            revision,
+            revision: position.revision,
+            epoch: position.epoch,
             wait_ms: watch_ms,
             node: settings.node.to_string(),
             loads: own_loads,
+            leaving: self.node_context.leaving(),
         };
         let reply = match self.clients.follow(address, request).await {
             Ok(reply) => reply,
             Err(error) => {
                 tracing::debug!(event = "HH1261", %error, "failed to follow a peer");
                 let now = self.node_context.now();
-                self.selector.record_unreachable(address, revision > 0, now);
+                let has_knowledge = position.revision > 0;
+                self.selector
+                    .record_unreachable(address, has_knowledge, now);
                 return;
             }
         };
+        if reply.batch.epoch < position.epoch {
+            self.selector.record_stale(address, self.node_context.now());
+            return;
+        }
         let max_age_ms = if is_local {
             MAX_PEER_AGE_MS
         } else {
@@ -150,12 +169,13 @@
         if is_local {
             self.node_context.set_peer_loads(&reply.loads);
         }
+        self.node_context.merge_leaving(&reply.leaving);
         let confirmed = Now {
             mono_ms: sent.mono_ms.saturating_sub(reply.age_ms),
             ..sent
         };
         self.follower
-            .apply_batch(&self.node_context, reply.batch, confirmed);
+            .apply_batch(&self.node_context, reply.batch, Some(position), confirmed);
     }
 }
 
@@ -170,14 +190,30 @@
 }
 
 impl Follower {
-    /// Applies a batch that was current at `confirmed` or later.
+    /// Applies a batch that was current at `confirmed` or later; a peer's batch holds the
+    /// changes since a position. Returns whether it could be applied.
     fn apply_batch<D: Dialect, C: Clock>(
         &mut self,
         node_context: &NodeContext<D, C>,
         batch: WatchBatch,
+        since: Option<StorePosition>,
         confirmed: Now,
-    ) {
+    ) -> bool {
         let now = node_context.now();
+        let mut batch = batch;
+        let before = node_context.mirror().position();
+        if epoch::begins(before, &batch) {
+            epoch::keep_newer_configuration(node_context, &mut batch);
+        }
+        let applied = node_context.mirror().apply(&batch, since);
+        let Applied::Changed {
+            deleted,
+            began_epoch,
+        } = applied
+        else {
+            tracing::info!(event = "HH1218", ?applied, epoch = batch.epoch, known = ?before, "changes of another epoch not applied");
+            return false;
+        };
         if self.store_lost {
             self.store_lost = false;
             self.reconnected_mono_ms = Some(now.mono_ms);
@@ -187,10 +223,22 @@
                 "store reachable again"
             );
         }
-        let is_live = node_context.mirror().revision() != 0;
-        let deleted = node_context.mirror().apply(&batch);
+        let provenance = match (began_epoch, before.revision) {
+            (true, _) => Provenance::Restored,
+            (false, 0) => Provenance::BeforeStart,
+            (false, _) => Provenance::Live,
+        };
+        if began_epoch {
+            epoch::begin(node_context, before, now);
+            batch.written = node_context.mirror().entries();
+        }
         for key in deleted {
-            self.delete(node_context, key, now);
+            if began_epoch && apply::may_be_restored(node_context, &key) {
+                let grace_ms = epoch::deletion_grace_ms(node_context, &key);
+                self.deferred_deletions.push((key, now.mono_ms + grace_ms));
+            } else {
+                self.delete(node_context, key, now);
+            }
         }
         // Entries that nodes write refer to orders, which must be known first.
         let (node_entries, platform_entries): (Vec<Entry>, Vec<Entry>) = batch
@@ -199,11 +247,12 @@
             .partition(|entry| entry.key.starts_with(NODE_KEYS_PREFIX));
         for entry in platform_entries.into_iter().chain(node_entries) {
             self.deferred_deletions.retain(|(key, _)| *key != entry.key);
-            apply::write(node_context, &entry, is_live, now);
+            apply::write(node_context, &entry, provenance, now);
         }
         self.apply_deferred_deletions(node_context, now);
         node_context.state().freshness.confirm(confirmed);
-        node_context.publish_revision();
+        node_context.publish_position();
+        true
     }
 
     /// Deletes a key. Shortly after an outage of the store the deletion is deferred: an
--- a/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
+++ b/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
@@ -13,6 +13,12 @@
     /// What the calling node has in flight at endpoints of the data centre.
     #[prost(message, repeated, tag = "4")]
     pub loads: ::prost::alloc::vec::Vec<EndpointLoad>,
+    /// The epoch of the store that the revision belongs to.
+    #[prost(uint64, tag = "5")]
+    pub epoch: u64,
+    /// Hashes of the endpoint instances that the calling node knows to be leaving.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub leaving: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FollowReply {
@@ -32,6 +38,12 @@
     /// What the other nodes of the data centre have in flight at its endpoints.
     #[prost(message, repeated, tag = "6")]
     pub loads: ::prost::alloc::vec::Vec<EndpointLoad>,
+    /// The epoch of the store that the revision belongs to.
+    #[prost(uint64, tag = "7")]
+    pub epoch: u64,
+    /// Hashes of the endpoint instances that the replying node knows to be leaving.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub leaving: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EndpointLoad {
@@ -45,6 +57,9 @@
     /// of prompt tokens of the smallest model.
     #[prost(uint32, tag = "3")]
     pub unread_tokens: u32,
+    /// Longest remaining time for which the endpoint asked a node for a pause.
+    #[prost(uint32, tag = "4")]
+    pub pause_ms: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StoredEntry {
--- a/crates/hemlockhitch_gateway/src/lib.rs
+++ b/crates/hemlockhitch_gateway/src/lib.rs
@@ -34,7 +34,7 @@
 pub use feed::follow_store;
 pub use listener::{Listener, Readiness, serve_readiness};
 pub use membership::register_node;
-pub use peer::serve_feed;
+pub use peer::{Applied, Mirror, serve_feed};
 pub use settings::GatewaySettings;
 pub use state::{NodeContext, State};
 pub use telemetry::report_gauges;
--- a/crates/hemlockhitch_gateway/src/membership.rs
+++ b/crates/hemlockhitch_gateway/src/membership.rs
@@ -23,6 +23,10 @@
 /// Renewal interval of the lease: three renewals before it expires.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(LEASE_MS / 4);
 
+/// Range over which nodes register again after the store returned from a copy, in
+/// milliseconds for each node: two hundred writes per second.
+const REGISTRATION_SPREAD_MS: u64 = 10;
+
 /// What a node publishes about itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -66,14 +70,27 @@
     // Serialising strings and a number cannot fail.
     let record = serde_json::to_string(&record).unwrap_or_default();
     let mut backoff = store_backoff();
+    let mut positions = node_context.positions();
     loop {
         match register(&store, &node, &record).await {
             Ok(lease) => {
                 backoff.reset();
-                tracing::info!(event = "HH1210", node = %node, "node registered");
-                node_context.state().lease = Some(lease);
-                keep_lease_alive(&store, lease).await;
+                let epoch = store.epoch();
+                tracing::info!(event = "HH1210", node = %node, epoch, "node registered");
+                {
+                    let mut state = node_context.state();
+                    state.lease = Some(lease);
+                    state.lease_is_void = false;
+                }
+                // A lease of an earlier epoch may be another node's now.
+                tokio::select! {
+                    () = keep_lease_alive(&store, lease, epoch) => {}
+                    _ = positions.wait_for(|position| position.epoch > epoch) => {}
+                }
                 node_context.state().lease = None;
+                if store.epoch() > epoch || positions.borrow().epoch > epoch {
+                    spread_registrations(&node_context).await;
+                }
             }
             Err(error) => {
                 tracing::debug!(event = "HH1211", %error, "failed to register the node");
@@ -99,13 +116,25 @@
     Ok(lease)
 }
 
-/// Renews the lease until a renewal fails.
-async fn keep_lease_alive(store: &impl KeyValue, lease: LeaseId) {
+/// Renews the lease until a renewal fails or the store has left the epoch in which the
+/// lease was granted.
+async fn keep_lease_alive(store: &impl KeyValue, lease: LeaseId, epoch: u64) {
     loop {
         sleep(RENEWAL_INTERVAL).await;
         if let Err(error) = store.lease_renew(lease).await {
             tracing::warn!(event = "HH1212", %error, "failed to renew the node's registration");
             return;
         }
+        if store.epoch() > epoch {
+            return;
+        }
     }
 }
+
+/// Waits for a random time, because all nodes register again after the store returned
+/// from a copy.
+async fn spread_registrations<D: Dialect, C: Clock>(node_context: &NodeContext<D, C>) {
+    let nodes = u64::from(node_context.state().node_count());
+    let spread_ms = fastrand::u64(0..=nodes * REGISTRATION_SPREAD_MS);
+    sleep(Duration::from_millis(spread_ms)).await;
+}
--- a/crates/hemlockhitch_gateway/src/peer/client.rs
+++ b/crates/hemlockhitch_gateway/src/peer/client.rs
@@ -42,6 +42,8 @@
     pub(crate) age_ms: u64,
     /// Outstanding requests of the other nodes at the endpoints of the data centre.
     pub(crate) loads: EndpointLoads,
+    /// Hashes of the endpoint instances that are leaving.
+    pub(crate) leaving: Vec<u64>,
 }
 
 /// Channels to the nodes that were called, by address.
@@ -114,8 +116,10 @@
             deleted: reply.deleted,
             complete: reply.complete,
             revision: reply.revision,
+            epoch: reply.epoch,
         },
         age_ms: reply.age_ms,
         loads: super::server::loads_from_wire(reply.loads),
+        leaving: reply.leaving,
     }
 }
--- a/crates/hemlockhitch_gateway/src/peer/loads.rs
+++ b/crates/hemlockhitch_gateway/src/peer/loads.rs
@@ -36,6 +36,9 @@
                 let total = sum.entry(*endpoint).or_default();
                 total.requests += outstanding.requests;
                 total.pending_prefill_tokens += outstanding.pending_prefill_tokens;
+                let age_ms = now.mono_ms.saturating_sub(*reported_mono_ms);
+                let pause_remaining_ms = outstanding.pause_remaining_ms.saturating_sub(age_ms);
+                total.pause_remaining_ms = total.pause_remaining_ms.max(pause_remaining_ms);
             }
         }
         sum
--- a/crates/hemlockhitch_gateway/src/peer/mod.rs
+++ b/crates/hemlockhitch_gateway/src/peer/mod.rs
@@ -8,6 +8,6 @@
 
 pub(crate) use client::FeedClients;
 pub(crate) use loads::{EndpointLoads, LoadTable};
-pub(crate) use mirror::Mirror;
+pub use mirror::{Applied, Mirror};
 pub(crate) use server::loads_to_wire;
 pub use server::serve_feed;
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -5,7 +5,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use hemlockhitch_model::{Clock, Now};
+use hemlockhitch_model::{Clock, Now, StorePosition};
 use hemlockhitch_ports::key_value::WatchBatch;
 use hemlockhitch_routing::fleet::Outstanding;
 use hemlockhitch_routing::limits::ByteBudget;
@@ -102,9 +102,14 @@
         let mut request = request.into_inner();
         let loads = loads_from_wire(std::mem::take(&mut request.loads));
         self.node_context.record_loads(&request.node, loads);
+        self.node_context.merge_leaving(&request.leaving);
+        let known = StorePosition {
+            epoch: request.epoch,
+            revision: request.revision,
+        };
         let wait = Duration::from_millis(request.wait_ms.min(MAX_WAIT_MS));
-        let mut revisions = self.node_context.revisions();
-        let newer = revisions.wait_for(|revision| *revision > request.revision);
+        let mut positions = self.node_context.positions();
+        let newer = positions.wait_for(|position| *position > known);
         // When the wait times out, the reply states that nothing changed and how recent
         // that is.
         let _ = timeout(wait, newer).await;
@@ -113,14 +118,15 @@
         let Some(age_ms) = age_ms else {
             return Err(Status::unavailable("the node does not know the store yet"));
         };
-        let batch = self.node_context.mirror().changes_since(request.revision);
+        let batch = self.node_context.mirror().changes_since(known);
         if batch.complete && !self.may_send(&batch, now) {
             return Err(Status::resource_exhausted(
                 "the node sends complete copies to others; ask another source",
             ));
         }
         let loads = self.node_context.loads_except(&request.node);
-        Ok(Response::new(write_reply(batch, age_ms, &loads)))
+        let leaving = self.node_context.leaving();
+        Ok(Response::new(write_reply(batch, age_ms, &loads, leaving)))
     }
 }
 
@@ -137,7 +143,12 @@
     }
 }
 
-fn write_reply(batch: WatchBatch, age_ms: u64, loads: &EndpointLoads) -> wire::FollowReply {
+fn write_reply(
+    batch: WatchBatch,
+    age_ms: u64,
+    loads: &EndpointLoads,
+    leaving: Vec<u64>,
+) -> wire::FollowReply {
     let written = batch.written.into_iter().map(|entry| wire::StoredEntry {
         key: entry.key,
         value: entry.value,
@@ -150,6 +161,8 @@
         deleted: batch.deleted,
         age_ms,
         loads: loads_to_wire(loads),
+        epoch: batch.epoch,
+        leaving,
     }
 }
 
@@ -161,6 +174,7 @@
             endpoint_hash: *endpoint_hash,
             requests: outstanding.requests,
             unread_tokens: u32::try_from(outstanding.pending_prefill_tokens).unwrap_or(u32::MAX),
+            pause_ms: u32::try_from(outstanding.pause_remaining_ms).unwrap_or(u32::MAX),
         });
     loads.collect()
 }
@@ -171,6 +185,7 @@
         let outstanding = Outstanding {
             requests: load.requests,
             pending_prefill_tokens: load.unread_tokens.into(),
+            pause_remaining_ms: load.pause_ms.into(),
         };
         (load.endpoint_hash, outstanding)
     });
--- a/crates/hemlockhitch_gateway/src/settings.rs
+++ b/crates/hemlockhitch_gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! Gateway settings.
 
-use hemlockhitch_model::{DataCentreName, NodeName};
-use hemlockhitch_routing::limits::RetryBudgetSettings;
+use hemlockhitch_model::{DataCentreName, NodeName, hash_bytes};
+use hemlockhitch_routing::limits::{PauseSettings, RetryBudgetSettings};
 use hemlockhitch_routing::source::FollowableNode;
 
 /// Settings of a node's gateway.
@@ -40,6 +40,8 @@
     /// How long a starting node waits before it lists the other nodes, in milliseconds:
     /// at the first start of a fleet, until they have registered.
     pub registration_wait_ms: u64,
+    /// Longest pause that an endpoint may ask this node for, in milliseconds.
+    pub max_endpoint_pause_ms: u64,
     /// Maximum number of requests in flight.
     pub max_in_flight: usize,
 }
@@ -67,10 +69,19 @@
             session_ttl_ms: 5_000,
             deletion_grace_ms: 2_200,
             registration_wait_ms: 0,
+            max_endpoint_pause_ms: 60_000,
             max_in_flight: 1_000,
         }
     }
 
+    /// Returns the settings of the pauses that endpoints ask for.
+    pub(crate) fn pauses(&self) -> PauseSettings {
+        PauseSettings {
+            node_hash: hash_bytes(self.node.as_str()),
+            max_pause_ms: self.max_endpoint_pause_ms,
+        }
+    }
+
     /// Returns this node as other nodes see it when they select the node to follow.
     pub(crate) fn followable(&self) -> FollowableNode<'_> {
         FollowableNode {
@@ -172,6 +183,13 @@
         self
     }
 
+    /// Sets the longest pause that an endpoint may ask this node for, in milliseconds.
+    #[must_use]
+    pub fn max_endpoint_pause_ms(mut self, max_endpoint_pause_ms: u64) -> Self {
+        self.max_endpoint_pause_ms = max_endpoint_pause_ms;
+        self
+    }
+
     /// Sets the maximum number of requests in flight.
     #[must_use]
     pub fn max_in_flight(mut self, max_in_flight: usize) -> Self {
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -1,9 +1,11 @@
 //! State shared by the tasks of a node.
 
+mod endpoint;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use hemlockhitch_model::{Clock, Now, ServiceName};
+use hemlockhitch_model::{Clock, Now, ServiceName, StorePosition};
 use hemlockhitch_ports::key_value::LeaseId;
 use hemlockhitch_routing::cascade::LatencyPressure;
 use hemlockhitch_routing::catalogue::{Catalogue, Service};
@@ -49,15 +51,21 @@
     pub retry_budgets: HashMap<ServiceName, RetryBudget>,
     /// How close first events come to their latency objective, by service.
     pub pressure: HashMap<ServiceName, LatencyPressure>,
-    /// Stages of roll-outs as the store holds them, with the key's version.
-    pub(crate) stages: HashMap<ServiceName, (StageRecord, u64)>,
+    /// Stages of roll-outs as the store holds them, with the position at which the key
+    /// was written.
+    pub(crate) stages: HashMap<ServiceName, (StageRecord, StorePosition)>,
     /// Published status of roll-outs: the target version and its stage.
     pub(crate) published_status: HashMap<ServiceName, (String, Stage)>,
     /// Services with a new roll-out order whose sessions this node has not published
     /// yet.
     pub(crate) unpublished_pins: Vec<ServiceName>,
+    /// Sessions that this node published, by service.
+    pub(crate) own_pins: HashMap<ServiceName, Vec<u64>>,
     /// The lease that the node's own keys are attached to.
     pub(crate) lease: Option<LeaseId>,
+    /// Whether the lease was lost with an epoch of the store, so that the node's keys
+    /// must wait for a new one.
+    pub(crate) lease_is_void: bool,
     /// Crash counts that are not published yet, with the fingerprint of the request.
     pub(crate) unpublished_crash_counts: Vec<(u64, u32)>,
     /// Number of requests in flight.
@@ -82,7 +90,9 @@
             stages: HashMap::new(),
             published_status: HashMap::new(),
             unpublished_pins: Vec::new(),
+            own_pins: HashMap::new(),
             lease: None,
+            lease_is_void: false,
             unpublished_crash_counts: Vec::new(),
             in_flight: 0,
         }
@@ -149,7 +159,7 @@
     state: Mutex<State>,
     mirror: Mutex<Mirror>,
     loads: Mutex<LoadTable>,
-    revisions: watch::Sender<u64>,
+    positions: watch::Sender<StorePosition>,
     connection_pool: ConnectionPool,
     dialect: D,
     clock: C,
@@ -173,7 +183,7 @@
                 state: Mutex::new(State::new(&settings)),
                 mirror: Mutex::default(),
                 loads: Mutex::default(),
-                revisions: watch::Sender::new(0),
+                positions: watch::Sender::new(StorePosition::default()),
                 connection_pool: ConnectionPool::default(),
                 dialect,
                 clock,
@@ -240,7 +250,8 @@
     /// Returns this node's outstanding requests at the endpoints of its data centre.
     pub(crate) fn own_loads(&self) -> EndpointLoads {
         let data_centre = &self.settings().data_centre;
-        self.state().fleet.outstanding(data_centre).collect()
+        let now = self.now();
+        self.state().fleet.outstanding(data_centre, now).collect()
     }
 
     /// Returns the outstanding requests of this node and its followers, except one, at
@@ -258,19 +269,34 @@
         loads.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Publishes the store revision that this node knows to its followers.
-    pub(crate) fn publish_revision(&self) {
-        let revision = self.mirror().revision();
-        self.inner.revisions.send_if_modified(|known| {
-            let newer = revision > *known;
-            *known = revision;
+    /// Publishes the position in the store's history that this node knows to its
+    /// followers.
+    pub(crate) fn publish_position(&self) {
+        let position = self.mirror().position();
+        self.inner.positions.send_if_modified(|known| {
+            let newer = position > *known;
+            *known = position;
             newer
         });
     }
 
-    /// Subscribes to the published store revisions.
-    pub(crate) fn revisions(&self) -> watch::Receiver<u64> {
-        self.inner.revisions.subscribe()
+    /// Subscribes to the published positions.
+    pub(crate) fn positions(&self) -> watch::Receiver<StorePosition> {
+        self.inner.positions.subscribe()
+    }
+
+    /// Returns the hashes of the endpoint instances that this node knows to be leaving.
+    pub(crate) fn leaving(&self) -> Vec<u64> {
+        self.state().fleet.leaving().collect()
+    }
+
+    /// Records the endpoint instances that another node knows to be leaving.
+    pub(crate) fn merge_leaving(&self, instance_hashes: &[u64]) {
+        let now = self.now();
+        let mut state = self.state();
+        state
+            .fleet
+            .merge_leaving(instance_hashes.iter().copied(), now);
     }
 
     pub(crate) fn connection_pool(&self) -> &ConnectionPool {
--- a/crates/hemlockhitch_ledger/benches/ledger/memory.rs
+++ b/crates/hemlockhitch_ledger/benches/ledger/memory.rs
@@ -157,6 +157,7 @@
             deleted: Vec::new(),
             complete: true,
             revision,
+            epoch: 0,
         })
     }
 
--- a/crates/hemlockhitch_model/src/lib.rs
+++ b/crates/hemlockhitch_model/src/lib.rs
@@ -17,6 +17,7 @@
 mod hash;
 mod id;
 mod name;
+mod position;
 mod time;
 
 pub use arena::{Arena, Key};
@@ -31,4 +32,5 @@
     DataCentreName, EndpointName, ModelName, NodeName, OrganisationName, RegionName, ServiceName,
     VersionName,
 };
+pub use position::StorePosition;
 pub use time::{BootClock, Clock, ManualClock, Now, SystemClock};
--- a/crates/hemlockhitch_ports/src/key_value/memory/state.rs
+++ b/crates/hemlockhitch_ports/src/key_value/memory/state.rs
@@ -113,6 +113,7 @@
             deleted,
             complete: false,
             revision: self.revision(),
+            epoch: 0,
         }
     }
 
@@ -186,6 +187,7 @@
             deleted: Vec::new(),
             complete: true,
             revision: self.revision(),
+            epoch: 0,
         }
     }
 
--- a/crates/hemlockhitch_ports/src/key_value/mod.rs
+++ b/crates/hemlockhitch_ports/src/key_value/mod.rs
@@ -9,7 +9,7 @@
 pub use error::{KeyValueError, KeyValueErrorKind};
 pub use http::HttpKeyValue;
 pub use memory::MemoryKeyValue;
-pub use types::{Entry, Expected, LeaseId, Listing, Swap, SwapOutcome, WatchBatch};
+pub use types::{Entry, EpochFence, Expected, LeaseId, Listing, Swap, SwapOutcome, WatchBatch};
 
 use std::future::Future;
 
@@ -45,6 +45,23 @@
     /// Writes or deletes one key if its current state is the expected one.
     fn swap(&self, swap: Swap) -> impl Future<Output = Result<SwapOutcome, KeyValueError>> + Send;
 
+    /// Writes or deletes one key as [`swap`](Self::swap) does, but only in the epoch of
+    /// the fence. Services without epochs ignore the fence.
+    fn swap_fenced(
+        &self,
+        swap: Swap,
+        fence: EpochFence,
+    ) -> impl Future<Output = Result<SwapOutcome, KeyValueError>> + Send {
+        drop(fence);
+        self.swap(swap)
+    }
+
+    /// Returns the latest epoch in which the service answered this client; 0 before the
+    /// first answer and for a service without epochs.
+    fn epoch(&self) -> u64 {
+        0
+    }
+
     /// Returns the changes under `prefix` after `revision`, and waits up to `wait_ms`
     /// for the first one.
     ///
--- a/crates/hemlockhitch_ports/src/key_value/types.rs
+++ b/crates/hemlockhitch_ports/src/key_value/types.rs
@@ -1,5 +1,6 @@
 //! Requests and results of the key-value service.
 
+use hemlockhitch_model::StorePosition;
 use serde::{Deserialize, Serialize};
 
 /// A key with its value and version.
@@ -130,4 +131,33 @@
     pub complete: bool,
     /// The revision to continue the watch from.
     pub revision: u64,
+    /// Epoch of the service in which it answered; 0 for a service without epochs.
+    #[serde(default)]
+    pub epoch: u64,
+}
+
+impl WatchBatch {
+    /// Returns the position in the service's history to continue the watch from.
+    #[must_use]
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            epoch: self.epoch,
+            revision: self.revision,
+        }
+    }
+}
+
+/// Ties a write to an epoch of the service.
+///
+/// A marker key names the epoch. A write that the service carries out late, after it
+/// has returned from a copy, finds the marker removed and has no effect, even where its
+/// expected version was given out again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EpochFence {
+    /// Key of the epoch's marker.
+    pub marker: String,
+    /// Version of the marker; `None` if it does not exist yet and the write creates it.
+    pub version: Option<u64>,
+    /// Markers of earlier epochs, which the write removes.
+    pub outdated_markers: Vec<String>,
 }
--- a/crates/hemlockhitch_ports/tests/key_value_contract.rs
+++ b/crates/hemlockhitch_ports/tests/key_value_contract.rs
@@ -148,11 +148,11 @@
     }
     allow_duplicates! {
         assert_snapshot!(lines(batches), @r#"
-        WatchBatch { written: [Entry { key: "a/1", value: "new", version: 4 }], deleted: ["a/2"], complete: false, revision: 5 }
-        WatchBatch { written: [], deleted: ["a/2"], complete: false, revision: 5 }
-        WatchBatch { written: [], deleted: [], complete: false, revision: 5 }
-        WatchBatch { written: [Entry { key: "b/1", value: "other", version: 3 }], deleted: [], complete: false, revision: 5 }
-        WatchBatch { written: [], deleted: [], complete: false, revision: 5 }
+        WatchBatch { written: [Entry { key: "a/1", value: "new", version: 4 }], deleted: ["a/2"], complete: false, revision: 5, epoch: 0 }
+        WatchBatch { written: [], deleted: ["a/2"], complete: false, revision: 5, epoch: 0 }
+        WatchBatch { written: [], deleted: [], complete: false, revision: 5, epoch: 0 }
+        WatchBatch { written: [Entry { key: "b/1", value: "other", version: 3 }], deleted: [], complete: false, revision: 5, epoch: 0 }
+        WatchBatch { written: [], deleted: [], complete: false, revision: 5, epoch: 0 }
         "#);
     }
 }
@@ -164,7 +164,7 @@
     store.swap(Swap::create("a/1", "value")).await.unwrap();
     let batch = watch.await.unwrap().unwrap();
     allow_duplicates! {
-        assert_snapshot!(lines([batch]), @r#"WatchBatch { written: [Entry { key: "a/1", value: "value", version: 2 }], deleted: [], complete: false, revision: 2 }"#);
+        assert_snapshot!(lines([batch]), @r#"WatchBatch { written: [Entry { key: "a/1", value: "value", version: 2 }], deleted: [], complete: false, revision: 2, epoch: 0 }"#);
     }
 }
 
@@ -182,10 +182,10 @@
     }
     allow_duplicates! {
         assert_snapshot!(lines(batches), @r#"
-        WatchBatch { written: [Entry { key: "a/kept", value: "", version: 3 }], deleted: [], complete: true, revision: 67 }
-        WatchBatch { written: [Entry { key: "a/kept", value: "", version: 3 }], deleted: [], complete: true, revision: 67 }
-        WatchBatch { written: [], deleted: [], complete: false, revision: 67 }
-        WatchBatch { written: [Entry { key: "a/kept", value: "", version: 3 }], deleted: [], complete: true, revision: 67 }
+        WatchBatch { written: [Entry { key: "a/kept", value: "", version: 3 }], deleted: [], complete: true, revision: 67, epoch: 0 }
+        WatchBatch { written: [Entry { key: "a/kept", value: "", version: 3 }], deleted: [], complete: true, revision: 67, epoch: 0 }
+        WatchBatch { written: [], deleted: [], complete: false, revision: 67, epoch: 0 }
+        WatchBatch { written: [Entry { key: "a/kept", value: "", version: 3 }], deleted: [], complete: true, revision: 67, epoch: 0 }
         "#);
     }
 }
--- a/crates/hemlockhitch_routing/src/fleet/endpoint.rs
+++ b/crates/hemlockhitch_routing/src/fleet/endpoint.rs
@@ -35,6 +35,9 @@
     /// Work on the prompts that are not prefilled yet, that is, of the requests for which
     /// no event was received, as the number of prompt tokens of the smallest model.
     pub pending_prefill_tokens: u64,
+    /// Remaining time for which the endpoint has asked a node for a pause, in
+    /// milliseconds.
+    pub pause_remaining_ms: u64,
 }
 
 /// A node's view of one endpoint.
@@ -54,6 +57,8 @@
     /// Hash of the endpoint's name; the same on every node.
     pub name_hash: u64,
     cold_until_mono_ms: u64,
+    paused_until_mono_ms: u64,
+    is_leaving: bool,
     load: Option<(Load, Now)>,
     peer_requests: Option<(Outstanding, Now)>,
     /// Time of the latest prefill, by model hash and part identifier.
@@ -65,6 +70,8 @@
         Self {
             cold_until_mono_ms: now.mono_ms + entry.cold_remaining_ms,
             name_hash: hash_bytes(entry.name.as_str()),
+            paused_until_mono_ms: 0,
+            is_leaving: false,
             entry,
             circuit_breaker: CircuitBreaker::default(),
             in_flight: 0,
@@ -78,7 +85,40 @@
 
     pub(super) fn update_entry(&mut self, entry: EndpointEntry, now: Now) {
         self.record_cold(entry.cold_remaining_ms, now);
-        self.entry = entry;
+        // An instance that is draining ends; an older registration does not undo that.
+        let draining = self.entry.draining || entry.draining;
+        self.entry = EndpointEntry { draining, ..entry };
+    }
+
+    pub(super) fn set_leaving(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Returns whether the endpoint has stated that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Records that the endpoint has asked this node to send nothing for a time. The
+    /// latest end counts.
+    pub fn record_pause(&mut self, pause_ms: u64, now: Now) {
+        self.paused_until_mono_ms = self.paused_until_mono_ms.max(now.mono_ms + pause_ms);
+    }
+
+    /// Returns the remaining time for which this node sends nothing to the endpoint, in
+    /// milliseconds; 0 if it may send.
+    #[must_use]
+    pub fn pause_remaining_ms(&self, now: Now) -> u64 {
+        self.paused_until_mono_ms.saturating_sub(now.mono_ms)
+    }
+
+    /// Returns whether other nodes have been asked for a pause that is not over.
+    #[must_use]
+    pub fn is_paused_for_peers(&self, now: Now) -> bool {
+        self.peer_requests.is_some_and(|(outstanding, at)| {
+            now.mono_ms < at.mono_ms + outstanding.pause_remaining_ms
+        })
     }
 
     /// Records how long the endpoint stays cold, as it reports it. The latest end
@@ -112,10 +152,11 @@
 
     /// Returns this node's outstanding requests at the endpoint.
     #[must_use]
-    pub fn outstanding(&self) -> Outstanding {
+    pub fn outstanding(&self, now: Now) -> Outstanding {
         Outstanding {
             requests: self.in_flight,
             pending_prefill_tokens: self.pending_prefill_tokens,
+            pause_remaining_ms: self.pause_remaining_ms(now),
         }
     }
 
--- a/crates/hemlockhitch_routing/src/fleet/entry.rs
+++ b/crates/hemlockhitch_routing/src/fleet/entry.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use hemlockhitch_model::{DataCentreName, EndpointName, ServiceName, VersionName};
+use hemlockhitch_model::{DataCentreName, EndpointName, ServiceName, VersionName, hash_bytes, mix};
 
 /// An endpoint's registration in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,4 +38,15 @@
             && self.version == other.version
             && self.started_unix_ms == other.started_unix_ms
     }
+
+    /// Returns a hash that identifies the instance; the same on every node.
+    #[must_use]
+    pub fn instance_hash(&self) -> u64 {
+        let started_unix_ms = self.started_unix_ms.unwrap_or_default();
+        let address_hash = hash_bytes(self.address.to_string());
+        mix(
+            mix(hash_bytes(self.name.as_str()), address_hash),
+            started_unix_ms,
+        )
+    }
 }
--- a/crates/hemlockhitch_routing/src/fleet/mod.rs
+++ b/crates/hemlockhitch_routing/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The endpoints known to a node.
 
 mod circuit_breaker;
+mod departure;
 mod endpoint;
 mod entry;
 
@@ -10,6 +11,8 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use departure::Departures;
+
 use hemlockhitch_model::{DataCentreName, EndpointKey, EndpointName, Key, Now, ServiceName};
 
 /// All known endpoints, by keys that are never reused.
@@ -19,6 +22,7 @@
     key_by_name: HashMap<EndpointName, EndpointKey>,
     keys_by_service: HashMap<ServiceName, Vec<EndpointKey>>,
     evacuated: HashSet<DataCentreName>,
+    departures: Departures,
     next_index: usize,
 }
 
@@ -42,12 +46,70 @@
     }
 
     /// Removes an endpoint; returns its former key.
-    pub fn remove(&mut self, name: &EndpointName) -> Option<EndpointKey> {
+    pub fn remove(&mut self, name: &EndpointName, now: Now) -> Option<EndpointKey> {
         let key = self.key_by_name.get(name).copied()?;
+        if let Some(endpoint) = self.endpoints.get(&key) {
+            self.departures.record_removed(&endpoint.entry, now);
+        }
         self.remove_key(key);
         Some(key)
     }
 
+    /// Returns whether a registration that the store restored from a copy is older than
+    /// what is known: its instance was removed or replaced.
+    #[must_use]
+    pub fn is_outdated(&self, restored: &EndpointEntry, now: Now) -> bool {
+        let known = self.key_by_name.get(&restored.name);
+        let known = known.and_then(|key| self.endpoints.get(key));
+        let was_replaced =
+            known.is_some_and(|known| known.entry.started_unix_ms > restored.started_unix_ms);
+        was_replaced || self.departures.was_removed(restored, now)
+    }
+
+    /// Records that an endpoint has stated that it is leaving; returns whether that was
+    /// not known. It gets no new requests until another instance takes its place.
+    pub fn record_leaving(&mut self, key: EndpointKey, now: Now) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(&key) else {
+            return false;
+        };
+        endpoint.set_leaving();
+        self.departures
+            .record_leaving(endpoint.entry.instance_hash(), now)
+    }
+
+    /// Records the instances that other nodes know to be leaving, by their hashes.
+    pub fn merge_leaving(&mut self, instance_hashes: impl IntoIterator<Item = u64>, now: Now) {
+        let mut has_new = false;
+        for instance_hash in instance_hashes {
+            has_new |= self.departures.record_leaving(instance_hash, now);
+        }
+        if !has_new {
+            return;
+        }
+        for endpoint in self.endpoints.values_mut() {
+            if self.departures.is_leaving(endpoint.entry.instance_hash()) {
+                endpoint.set_leaving();
+            }
+        }
+    }
+
+    /// Iterates over the hashes of the leaving instances whose registrations do not say
+    /// so.
+    pub fn leaving(&self) -> impl Iterator<Item = u64> {
+        let leaving = self.endpoints.values();
+        let leaving = leaving.filter(|endpoint| endpoint.is_leaving() && !endpoint.entry.draining);
+        leaving.map(|endpoint| endpoint.entry.instance_hash())
+    }
+
+    /// Returns the time after which the first endpoint of a service may get requests
+    /// again, in milliseconds, if all have asked this node for a pause; otherwise `None`.
+    #[must_use]
+    pub fn earliest_resumption_ms(&self, service: &ServiceName, now: Now) -> Option<u64> {
+        let pauses = self.eligible(service);
+        let pauses = pauses.map(|(_, endpoint)| endpoint.pause_remaining_ms(now));
+        pauses.min().filter(|remaining_ms| *remaining_ms > 0)
+    }
+
     /// Starts or ends the evacuation of a data centre. Its endpoints get no new
     /// requests during the evacuation.
     pub fn set_evacuated(&mut self, data_centre: DataCentreName, evacuated: bool) {
@@ -85,13 +147,15 @@
     }
 
     /// Iterates over the endpoints of a service that may get new requests: those that
-    /// are neither draining nor in an evacuated data centre.
+    /// are neither draining, leaving nor in an evacuated data centre.
     pub fn eligible<'a>(
         &'a self,
         service: &ServiceName,
     ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> {
         self.of_service(service).filter(|(_, endpoint)| {
-            !endpoint.entry.draining && !self.evacuated.contains(&endpoint.entry.data_centre)
+            !endpoint.entry.draining
+                && !endpoint.is_leaving()
+                && !self.evacuated.contains(&endpoint.entry.data_centre)
         })
     }
 
@@ -100,12 +164,13 @@
     pub fn outstanding(
         &self,
         data_centre: &DataCentreName,
+        now: Now,
     ) -> impl Iterator<Item = (u64, Outstanding)> {
         let endpoints = self.endpoints.values();
-        let busy = endpoints.filter(move |endpoint| {
-            endpoint.in_flight > 0 && endpoint.entry.data_centre == *data_centre
-        });
-        busy.map(|endpoint| (endpoint.name_hash, endpoint.outstanding()))
+        let local = endpoints.filter(move |endpoint| endpoint.entry.data_centre == *data_centre);
+        let outstanding =
+            local.map(move |endpoint| (endpoint.name_hash, endpoint.outstanding(now)));
+        outstanding.filter(|(_, outstanding)| *outstanding != Outstanding::default())
     }
 
     /// Records the outstanding requests of the other nodes at the endpoints of a data
@@ -144,7 +209,12 @@
             .entry(entry.service.clone())
             .or_default();
         service_keys.push(key);
-        self.endpoints.insert(key, Endpoint::new(entry, now));
+        let is_leaving = self.departures.is_leaving(entry.instance_hash());
+        let mut endpoint = Endpoint::new(entry, now);
+        if is_leaving {
+            endpoint.set_leaving();
+        }
+        self.endpoints.insert(key, endpoint);
         key
     }
 
--- a/crates/hemlockhitch_routing/src/limits/mod.rs
+++ b/crates/hemlockhitch_routing/src/limits/mod.rs
@@ -2,10 +2,12 @@
 
 mod byte_budget;
 mod cold_rate;
+mod pause;
 mod rate_limiter;
 mod retry_budget;
 
 pub use byte_budget::ByteBudget;
 pub use cold_rate::ColdRate;
+pub use pause::{PauseSettings, RequestedPause};
 pub use rate_limiter::RateLimiter;
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
--- a/crates/hemlockhitch_routing/src/selection/cost.rs
+++ b/crates/hemlockhitch_routing/src/selection/cost.rs
@@ -33,6 +33,10 @@
 /// Cost of an endpoint at a failure ratio of 1.
 const FAILURE_COST_TOKENS: f64 = 20_000.0;
 
+/// Cost of an endpoint that asked other nodes for a pause: any other is better, but it
+/// is used if there is none.
+const PAUSED_FOR_PEERS_COST_TOKENS: f64 = 50_000.0;
+
 /// Upper bound of the random cost that is added, so that nodes with the same reports do
 /// not all choose the same endpoint.
 const MAX_JITTER_TOKENS: u64 = 300;
@@ -94,7 +98,12 @@
     } else {
         0.0
     };
-    let base_cost = jitter + failure_cost + full_cost;
+    let paused_cost = if endpoint.is_paused_for_peers(now) {
+        PAUSED_FOR_PEERS_COST_TOKENS
+    } else {
+        0.0
+    };
+    let base_cost = jitter + failure_cost + full_cost + paused_cost;
     let Some(prompt) = request.prompt else {
         let remote_cost = if is_remote {
             NO_PROMPT_REMOTE_COST_TOKENS
--- a/crates/hemlockhitch_routing/src/selection/mod.rs
+++ b/crates/hemlockhitch_routing/src/selection/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! The endpoint with the lowest estimated cost is chosen: one with few requests, few
 //! prompt tokens to prefill, and the parts of the prompt in its cache. Endpoints with
-//! an open circuit breaker are used only if no other is left, and cold ones are
-//! rate-limited.
+//! an open circuit breaker are used only if no other is left, cold ones are
+//! rate-limited, and those that asked this node for a pause get nothing.
 
 mod cost;
 
@@ -99,6 +99,7 @@
     let candidates: Vec<(EndpointKey, &Endpoint)> = fleet
         .eligible(request.service)
         .filter(|(_, endpoint)| filter.allows(&endpoint.entry.version))
+        .filter(|(_, endpoint)| endpoint.pause_remaining_ms(now) == 0)
         .filter(|(_, endpoint)| {
             !endpoint.is_cold(now) || allows_cold_request(request, endpoint, now)
         })
