--- a/crates/hemlockhitch_gateway/src/attempt/context.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/context.rs
@@ -129,6 +129,8 @@
     pub(super) in_progress: bool,
     /// Index into the route's model sizes for the next attempt.
     pub(super) model_size: usize,
+    /// Model size that responded before the escalation, with its confidence in percent.
+    pub(super) escalated_from: Option<(usize, u8)>,
     /// Id of the last event that was relayed, or that the caller already had.
     pub(super) last_event_id: Option<u64>,
     /// Whether any part of the response was relayed to the caller.
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use hemlockhitch_model::Clock;
-use hemlockhitch_routing::cascade::{EscalationInput, FirstEventSample, next_size};
+use hemlockhitch_routing::cascade::{
+    ConfidenceGains, EscalationInput, FirstEventSample, Step, next_size,
+};
 use hemlockhitch_routing::crash_tracker::MAX_CRASHES;
 use hemlockhitch_routing::fleet::Sign;
 use hemlockhitch_routing::retry::{Final, Seen, Verdict, decide_retry};
@@ -108,6 +110,9 @@
                     self.record_success(ctx, history, &accepted, slot.as_ref());
                     if let Some(larger) = self.larger_model_size(ctx, history, &accepted) {
                         telemetry::count_escalation();
+                        history.escalated_from = accepted
+                            .confidence_percent
+                            .map(|percent| (history.model_size, percent));
                         history.model_size = larger;
                         history.may_have_run = true;
                         continue;
@@ -189,6 +194,8 @@
         }
         let now = self.node_context.now();
         let state = self.node_context.state();
+        let unknown_gains = ConfidenceGains::default();
+        let gains = state.gains.get(&ctx.service).unwrap_or(&unknown_gains);
         let pressure = state.pressure.get(&ctx.service)?;
         let input = EscalationInput {
             size: history.model_size,
@@ -197,7 +204,7 @@
             cost_tokens: ctx.cost_tokens(),
             remaining_to_slo_ms: ctx.remaining_to_slo_ms(now),
         };
-        let larger = next_size(input, pressure)?;
+        let larger = next_size(input, pressure, gains, now)?;
         let settings = self.node_context.settings().retry_budget;
         let used_ratio = state.retry_budgets.get(&ctx.service).map_or(0.0, |budget| {
             budget.used_ratio(settings, state.node_count(), now)
@@ -228,6 +235,7 @@
             (OpenedResponse::Stream(stream), _) => {
                 stream.slot.record_outcome(Sign::Good, ctx);
                 self.record_first_event(ctx, history, stream.slot.held_ms());
+                self.record_gain(ctx, history, accepted.confidence_percent);
             }
             (OpenedResponse::Buffered(_), Some(slot)) => slot.record_outcome(Sign::Good, ctx),
             (OpenedResponse::Buffered(_), None) => {}
@@ -250,6 +258,28 @@
         });
     }
 
+    /// Records what an escalation gained.
+    fn record_gain(
+        &self,
+        ctx: &RequestContext<D, C>,
+        history: &AttemptHistory,
+        confidence_percent: Option<u8>,
+    ) {
+        let (Some((from, from_percent)), Some(to_percent)) =
+            (history.escalated_from, confidence_percent)
+        else {
+            return;
+        };
+        let step = Step {
+            from,
+            to: history.model_size,
+        };
+        let now = self.node_context.now();
+        let mut state = self.node_context.state();
+        let gains = state.gains.entry(ctx.service.clone()).or_default();
+        gains.record(step, from_percent, to_percent, now);
+    }
+
     fn record_failure(
         &self,
         ctx: &RequestContext<D, C>,
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -7,7 +7,7 @@
 
 use hemlockhitch_model::{Clock, Now, ServiceName, StorePosition};
 use hemlockhitch_ports::key_value::LeaseId;
-use hemlockhitch_routing::cascade::LatencyPressure;
+use hemlockhitch_routing::cascade::{ConfidenceGains, LatencyPressure};
 use hemlockhitch_routing::catalogue::{Catalogue, Service};
 use hemlockhitch_routing::crash_tracker::CrashTracker;
 use hemlockhitch_routing::fleet::Fleet;
@@ -51,6 +51,8 @@
     pub retry_budgets: HashMap<ServiceName, RetryBudget>,
     /// How close first events come to their latency objective, by service.
     pub pressure: HashMap<ServiceName, LatencyPressure>,
+    /// What escalations to larger models gained, by service.
+    pub gains: HashMap<ServiceName, ConfidenceGains>,
     /// Stages of roll-outs as the store holds them, with the position at which the key
     /// was written.
     pub(crate) stages: HashMap<ServiceName, (StageRecord, StorePosition)>,
@@ -87,6 +89,7 @@
             crash_tracker: CrashTracker::default(),
             retry_budgets: HashMap::new(),
             pressure: HashMap::new(),
+            gains: HashMap::new(),
             stages: HashMap::new(),
             published_status: HashMap::new(),
             unpublished_pins: Vec::new(),
--- a/crates/hemlockhitch_routing/src/cascade/mod.rs
+++ b/crates/hemlockhitch_routing/src/cascade/mod.rs
@@ -4,6 +4,12 @@
 //! escalates to a larger model before anything is relayed to the caller. The confidence
 //! threshold falls under load, because larger models take more of an endpoint's time.
 
+mod gain;
+
+pub use gain::{ConfidenceGains, Step};
+
+use hemlockhitch_model::Now;
+
 /// Confidence below which a request escalates under low load, in percent. Half of the
 /// responses that a small model considers poor have a lower confidence.
 const MAX_THRESHOLD_PERCENT: f64 = 50.0;
@@ -101,18 +107,33 @@
     MAX_THRESHOLD_PERCENT * (1.0 - excess.clamp(0.0, 1.0))
 }
 
-/// Returns the model size to escalate to, or `None` if the response is kept. It is
-/// always the largest size, because a middle one gives few more good responses than the
-/// smallest.
+/// Returns the model size to escalate to, or `None` if the response is kept. It is the
+/// smallest size whose response will probably be confident enough, or the largest if no
+/// other will.
 #[must_use]
-pub fn next_size(input: EscalationInput, pressure: &LatencyPressure) -> Option<usize> {
+pub fn next_size(
+    input: EscalationInput,
+    pressure: &LatencyPressure,
+    gains: &ConfidenceGains,
+    now: Now,
+) -> Option<usize> {
     let largest = input.size_count.checked_sub(1)?;
-    let is_late = pressure.predict_first_event_ms(largest, input.cost_tokens)
+    let confidence_percent = input.confidence_percent?;
+    let suffices = |to: &usize| {
+        let step = Step {
+            from: input.size,
+            to: *to,
+        };
+        gains.expected_percent(step, input.size_count, confidence_percent, now)
+            >= MAX_THRESHOLD_PERCENT
+    };
+    let size = (input.size + 1..largest).find(suffices).unwrap_or(largest);
+    let is_late = pressure.predict_first_event_ms(size, input.cost_tokens)
         > as_f64(input.remaining_to_slo_ms);
     let factor = if is_late { LATE_THRESHOLD_RATIO } else { 1.0 };
     let threshold_percent = escalation_threshold_percent(pressure) * factor;
-    let is_below_threshold = f64::from(input.confidence_percent?) < threshold_percent;
-    (input.size < largest && is_below_threshold).then_some(largest)
+    let is_below_threshold = f64::from(confidence_percent) < threshold_percent;
+    (input.size < largest && is_below_threshold).then_some(size)
 }
 
 #[allow(clippy::cast_precision_loss)]
--- a/crates/hemlockhitch_routing/tests/cascade.rs
+++ b/crates/hemlockhitch_routing/tests/cascade.rs
@@ -1,8 +1,18 @@
 //! Model cascades under simulated loads.
 
+mod support;
+
 use hemlockhitch_routing::cascade::{
-    EscalationInput, FirstEventSample, LatencyPressure, escalation_threshold_percent, next_size,
+    ConfidenceGains, EscalationInput, FirstEventSample, LatencyPressure, Step,
+    escalation_threshold_percent,
 };
+use support::at;
+
+/// Returns the next size before any escalation has been observed.
+fn next_size(input: EscalationInput, pressure: &LatencyPressure) -> Option<usize> {
+    let gains = ConfidenceGains::default();
+    hemlockhitch_routing::cascade::next_size(input, pressure, &gains, at(0))
+}
 
 fn input(size: usize, confidence_percent: Option<u8>) -> EscalationInput {
     EscalationInput {
@@ -76,3 +86,52 @@
     assert_eq!(next_size(late(30), &pressure), None);
     assert_eq!(next_size(late(5), &pressure), Some(2));
 }
+
+/// Plays escalations of a load whose middle size gains `middle_gain` percent, over a
+/// range of confidences of the smallest, and returns the sizes that were chosen for
+/// the second half of it.
+fn chosen_sizes(middle_gain: u8) -> Vec<usize> {
+    let low_pressure = pressure_after(100);
+    let mut gains = ConfidenceGains::default();
+    let mut chosen = Vec::new();
+    for request in 0..200_u64 {
+        let now = at(request * 100);
+        let confidence = u8::try_from(request % 50).expect("below 50");
+        let input = input(0, Some(confidence));
+        let size =
+            hemlockhitch_routing::cascade::next_size(input, &low_pressure, &gains, now).unwrap();
+        let step = Step { from: 0, to: size };
+        let gain = if size == 1 { middle_gain } else { 55 };
+        gains.record(step, confidence, (confidence + gain).min(100), now);
+        if request >= 100 {
+            chosen.push(size);
+        }
+    }
+    chosen
+}
+
+/// A middle size takes a fraction of the largest one's time. With the largest for all,
+/// all 100 of these requests would go there.
+#[test]
+fn middle_size_is_asked_where_it_will_probably_suffice() {
+    let count = |sizes: &[usize], size| sizes.iter().filter(|other| **other == size).count();
+    let useful = chosen_sizes(20);
+    assert!((20..=60).contains(&count(&useful, 1)), "{useful:?}");
+    let excellent = chosen_sizes(48);
+    assert!(count(&excellent, 1) >= 90, "{excellent:?}");
+    let useless = chosen_sizes(0);
+    assert!(count(&useless, 2) >= 85, "{useless:?}");
+}
+
+/// A size that gained nothing for a while is tried again later.
+#[test]
+fn observations_of_a_size_fade() {
+    let step = Step { from: 0, to: 1 };
+    let mut gains = ConfidenceGains::default();
+    for request in 0..40 {
+        gains.record(step, 40, 40, at(request));
+    }
+    let expected = |mono_ms| gains.expected_percent(step, 3, 40, at(mono_ms));
+    assert!(expected(40) < 45.0);
+    assert!(expected(600_000) > 50.0);
+}
