--- a/crates/hemlockhitch_routing/src/cascade/mod.rs
+++ b/crates/hemlockhitch_routing/src/cascade/mod.rs
@@ -23,10 +23,6 @@
 /// Weight of the latest first event in the moving averages.
 const EWMA_WEIGHT: f64 = 0.1;
 
-/// Factor on the confidence threshold if the larger model's response will probably be
-/// late: a late response is worth less than a third of one in time.
-const LATE_THRESHOLD_RATIO: f64 = 0.3;
-
 /// Moving averages of the time to the first event, relative to the objective and per
 /// prompt token.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -110,6 +106,9 @@
 /// Returns the model size to escalate to, or `None` if the response is kept. It is the
 /// smallest size whose response will probably be confident enough, or the largest if no
 /// other will.
+///
+/// A response that would probably be late is not asked for. It would delay others that
+/// can still be in time, which makes them late in turn while endpoints are busy.
 #[must_use]
 pub fn next_size(
     input: EscalationInput,
@@ -130,10 +129,8 @@
     let size = (input.size + 1..largest).find(suffices).unwrap_or(largest);
     let is_late = pressure.predict_first_event_ms(size, input.cost_tokens)
         > as_f64(input.remaining_to_slo_ms);
-    let factor = if is_late { LATE_THRESHOLD_RATIO } else { 1.0 };
-    let threshold_percent = escalation_threshold_percent(pressure) * factor;
-    let is_below_threshold = f64::from(confidence_percent) < threshold_percent;
-    (input.size < largest && is_below_threshold).then_some(size)
+    let is_below_threshold = f64::from(confidence_percent) < escalation_threshold_percent(pressure);
+    (input.size < largest && is_below_threshold && !is_late).then_some(size)
 }
 
 #[allow(clippy::cast_precision_loss)]
--- a/crates/hemlockhitch_routing/tests/cascade.rs
+++ b/crates/hemlockhitch_routing/tests/cascade.rs
@@ -76,15 +76,16 @@
 /// Guards against escalating so late that the larger model's response misses the
 /// objective.
 #[test]
-fn late_larger_model_is_asked_only_at_very_low_confidence() {
+fn larger_model_that_would_be_late_is_not_asked() {
     let pressure = pressure_after(400);
     assert_eq!(next_size(input(0, Some(30)), &pressure), Some(2));
     let late = |confidence_percent| EscalationInput {
         remaining_to_slo_ms: 300,
         ..input(0, Some(confidence_percent))
     };
-    assert_eq!(next_size(late(30), &pressure), None);
-    assert_eq!(next_size(late(5), &pressure), Some(2));
+    for confidence_percent in [0, 5, 30] {
+        assert_eq!(next_size(late(confidence_percent), &pressure), None);
+    }
 }
 
 /// Plays escalations of a load whose middle size gains `middle_gain` percent, over a
