--- a/crates/hemlockhitch_gateway/src/attempt/send.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/send.rs
@@ -156,7 +156,7 @@
             timeout_ms: ctx.remaining_ms(now),
             endpoint: &slot.name,
             model: ctx.model_at_size(history.model_size),
-            priority: ctx.priority(),
+            priority: slot.priority,
             last_event_id: history.last_event_id,
         };
         let path = ctx.head.uri.path_and_query()?.clone();
--- a/crates/hemlockhitch_gateway/src/attempt/slot.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/slot.rs
@@ -33,6 +33,8 @@
     pub(super) endpoint: EndpointKey,
     pub(super) name: EndpointName,
     pub(super) address: SocketAddr,
+    /// Priority of the request at the endpoint; 0 is the highest.
+    pub(super) priority: u8,
     version: VersionName,
     model_hash: u64,
     pending_prefill_tokens: u64,
@@ -90,15 +92,25 @@
             endpoint_state.record_part(model_hash, part.id, now);
         }
         let version = endpoint_state.entry.version.clone();
+        let name = endpoint_state.entry.name.clone();
+        let address = endpoint_state.entry.address;
         state.session_affinity.record(ctx.session, &version, now);
         if let Some(roll_out) = state.roll_outs.get_mut(&ctx.service) {
             roll_out.record_request(&version, now);
         }
+        let priority = if prompt.is_some() {
+            let ranks = state.work_ranks.entry(ctx.service.clone()).or_default();
+            ranks.record(pending_prefill_tokens);
+            ranks.urgency(pending_prefill_tokens)
+        } else {
+            ctx.priority()
+        };
         Some(Self {
             node_context: node_context.clone(),
             endpoint,
-            name: endpoint_state.entry.name.clone(),
-            address: endpoint_state.entry.address,
+            name,
+            address,
+            priority,
             version,
             model_hash,
             pending_prefill_tokens,
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -13,7 +13,7 @@
 use hemlockhitch_routing::fleet::Fleet;
 use hemlockhitch_routing::limits::{ColdRate, RetryBudget};
 use hemlockhitch_routing::roll_out::{Evidence, RollOut, Stage};
-use hemlockhitch_routing::{Freshness, SessionAffinity, hash_bytes};
+use hemlockhitch_routing::{Freshness, SessionAffinity, WorkRanks, hash_bytes};
 
 use tokio::sync::watch;
 
@@ -51,6 +51,8 @@
     pub retry_budgets: HashMap<ServiceName, RetryBudget>,
     /// How close first events come to their latency objective, by service.
     pub pressure: HashMap<ServiceName, LatencyPressure>,
+    /// How long the prefill of recent prompts takes, by service.
+    pub work_ranks: HashMap<ServiceName, WorkRanks>,
     /// What escalations to larger models gained, by service.
     pub gains: HashMap<ServiceName, ConfidenceGains>,
     /// Stages of roll-outs as the store holds them, with the position at which the key
@@ -89,6 +91,7 @@
             crash_tracker: CrashTracker::default(),
             retry_budgets: HashMap::new(),
             pressure: HashMap::new(),
+            work_ranks: HashMap::new(),
             gains: HashMap::new(),
             stages: HashMap::new(),
             published_status: HashMap::new(),
--- a/crates/hemlockhitch_routing/src/lib.rs
+++ b/crates/hemlockhitch_routing/src/lib.rs
@@ -26,7 +26,9 @@
 
 mod freshness;
 mod session_affinity;
+mod urgency;
 
 pub use freshness::Freshness;
 pub use hemlockhitch_model::{hash_bytes, mix};
 pub use session_affinity::SessionAffinity;
+pub use urgency::WorkRanks;
