--- a/crates/hemlockhitch_gateway/src/attempt/slot.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/slot.rs
@@ -70,6 +70,7 @@
             service: &ctx.service,
             local_data_centre: &settings.data_centre,
             tried: &history.tried,
+            body_bytes: ctx.body.len() as u64,
             prompt,
             cold_rate,
             tie_breaker: mix(
--- a/crates/hemlockhitch_routing/src/selection/cost.rs
+++ b/crates/hemlockhitch_routing/src/selection/cost.rs
@@ -26,9 +26,12 @@
 /// Cost of an endpoint whose slots are all in use.
 const FULL_COST_TOKENS: f64 = 100_000.0;
 
-/// Cost of an endpoint in another data centre, because traffic between data centres is
-/// charged.
-const REMOTE_COST_TOKENS: f64 = 4_000.0;
+/// Cost of each byte that is sent to an endpoint in another data centre, because traffic
+/// between data centres is charged by volume.
+const REMOTE_COST_TOKENS_PER_BYTE: f64 = 1.0;
+
+/// Cost of an endpoint in another data centre in addition, for the response.
+const REMOTE_COST_TOKENS: f64 = 500.0;
 
 /// Cost of an endpoint at a failure ratio of 1.
 const FAILURE_COST_TOKENS: f64 = 20_000.0;
@@ -112,7 +115,11 @@
         };
         return base_cost + used_ratio * NO_PROMPT_FULL_COST_TOKENS + remote_cost;
     };
-    let remote_cost = if is_remote { REMOTE_COST_TOKENS } else { 0.0 };
+    let remote_cost = if is_remote {
+        REMOTE_COST_TOKENS + REMOTE_COST_TOKENS_PER_BYTE * as_f64(request.body_bytes)
+    } else {
+        0.0
+    };
     base_cost
         + remote_cost
         + prefill_cost_tokens(endpoint, has_affinity, &prompt, now)
--- a/crates/hemlockhitch_routing/src/selection/mod.rs
+++ b/crates/hemlockhitch_routing/src/selection/mod.rs
@@ -68,6 +68,8 @@
     pub local_data_centre: &'a DataCentreName,
     /// Endpoints that earlier attempts went to.
     pub tried: &'a [EndpointKey],
+    /// Length of the request's body, in bytes.
+    pub body_bytes: u64,
     /// Prompt of the request; `None` if no model processes one.
     pub prompt: Option<Prompt<'a>>,
     /// Rate limit of cold endpoints; `None` if they are not limited.
--- a/crates/hemlockhitch_routing/tests/departure.rs
+++ b/crates/hemlockhitch_routing/tests/departure.rs
@@ -15,6 +15,7 @@
         service: &"models".into(),
         local_data_centre: &"a".into(),
         tried: &[],
+        body_bytes: 0,
         prompt: None,
         cold_rate: None,
         tie_breaker: now.mono_ms,
--- a/crates/hemlockhitch_routing/tests/selection.rs
+++ b/crates/hemlockhitch_routing/tests/selection.rs
@@ -32,6 +32,7 @@
         service: &service,
         local_data_centre: &local_data_centre,
         tried: &[],
+        body_bytes: 0,
         prompt: (!parts.is_empty()).then_some(Prompt {
             model_hash: 7,
             model_size: 0,
@@ -172,6 +173,7 @@
         service: &service,
         local_data_centre: &local_data_centre,
         tried: &[],
+        body_bytes: 0,
         prompt: None,
         cold_rate: None,
         tie_breaker: 1,
@@ -279,6 +281,7 @@
             service: &service,
             local_data_centre: &local_data_centre,
             tried: &[],
+            body_bytes: 0,
             prompt: Some(Prompt {
                 model_hash: u64::from(is_largest),
                 model_size: if is_largest { 2 } else { 0 },
@@ -338,3 +341,36 @@
         "{late_ratio} of the first events are late"
     );
 }
+
+/// Plays prompts of different sizes at a node whose own data centre is busier than the
+/// other: traffic between data centres is charged by volume, so that short prompts go
+/// there and long ones stay.
+#[test]
+fn long_bodies_stay_in_the_data_centre_where_short_ones_leave_it() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(entry("local", "a", "v1"), at(0));
+    fleet.upsert(entry("remote", "b", "v1"), at(0));
+    let local = choose(&fleet, &parts(1, 1), 0, at(0)).expect("a choice");
+    fleet.get_mut(local).expect("known").pending_prefill_tokens = 12_000;
+    let chosen = |body_bytes| {
+        let request = SelectionRequest {
+            service: &"models".into(),
+            local_data_centre: &"a".into(),
+            tried: &[],
+            body_bytes,
+            prompt: Some(Prompt {
+                model_hash: 7,
+                model_size: 0,
+                parts: &[],
+                tokens: 1_000,
+                cache_ttl_ms: 8_000,
+            }),
+            cold_rate: None,
+            tie_breaker: 5,
+        };
+        let choice = choose_endpoint(&fleet, &request, VersionFilter::Any, at(0));
+        name(&fleet, choice.map(|choice| choice.endpoint))
+    };
+    assert_eq!(chosen(1_500), "remote");
+    assert_eq!(chosen(17_000), "local");
+}
