Ask the store sooner when no other source is up to date, and split long modules

A node whose candidates are partly silent and partly out of date asked the store only at an age of 2.5 to 4 s.

Ruled out: the store (one node a data centre had the change in 0.4 s), the limit of three silent nodes in a row (stale answers reset it, rightly).

Change: the store is asked at an age of 1.2 to 1.7 s if no node is ready.

--- a/crates/hemlockhitch_gateway/src/attempt/mod.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/mod.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod context;
 mod headers;
+mod record;
 mod relay;
 mod response;
 mod run;
--- /dev/null
+++ b/crates/hemlockhitch_gateway/src/attempt/record.rs
@@ -0,0 +1,111 @@
+//! What attempts show about endpoints, models and the retry budget.
+
+use hemlockhitch_model::Clock;
+use hemlockhitch_routing::cascade::{FirstEventSample, Step};
+use hemlockhitch_routing::crash_tracker::MAX_CRASHES;
+use hemlockhitch_routing::fleet::Sign;
+use hemlockhitch_routing::retry::Seen;
+
+use super::Gateway;
+use super::context::{AttemptHistory, RequestContext};
+use super::send::{AcceptedResponse, AttemptFailure, OpenedResponse};
+use super::slot::EndpointSlot;
+use crate::dialect::Dialect;
+
+impl<D: Dialect, C: Clock> Gateway<D, C> {
+    /// Records what an accepted response shows about its endpoint.
+    pub(super) fn record_success(
+        &self,
+        ctx: &RequestContext<D, C>,
+        history: &AttemptHistory,
+        accepted: &AcceptedResponse<D, C>,
+        slot: Option<&EndpointSlot<D, C>>,
+    ) {
+        match (&accepted.response, slot) {
+            (OpenedResponse::Stream(stream), _) => {
+                stream.slot.record_outcome(Sign::Good, ctx);
+                self.record_first_event(ctx, history, stream.slot.held_ms());
+                self.record_gain(ctx, history, accepted.confidence_percent);
+            }
+            (OpenedResponse::Buffered(_), Some(slot)) => slot.record_outcome(Sign::Good, ctx),
+            (OpenedResponse::Buffered(_), None) => {}
+        }
+    }
+
+    fn record_first_event(
+        &self,
+        ctx: &RequestContext<D, C>,
+        history: &AttemptHistory,
+        took_ms: u64,
+    ) {
+        let mut state = self.node_context.state();
+        let pressure = state.pressure.entry(ctx.service.clone()).or_default();
+        pressure.record(FirstEventSample {
+            size: history.model_size,
+            cost_tokens: ctx.cost_tokens(),
+            took_ms,
+            slo_ms: ctx.route.slo_ms,
+        });
+    }
+
+    /// Records what an escalation gained.
+    fn record_gain(
+        &self,
+        ctx: &RequestContext<D, C>,
+        history: &AttemptHistory,
+        confidence_percent: Option<u8>,
+    ) {
+        let (Some((from, from_percent)), Some(to_percent)) =
+            (history.escalated_from, confidence_percent)
+        else {
+            return;
+        };
+        let step = Step {
+            from,
+            to: history.model_size,
+        };
+        let now = self.node_context.now();
+        let mut state = self.node_context.state();
+        let gains = state.gains.entry(ctx.service.clone()).or_default();
+        gains.record(step, from_percent, to_percent, now);
+    }
+
+    pub(super) fn record_failure(
+        &self,
+        ctx: &RequestContext<D, C>,
+        slot: &EndpointSlot<D, C>,
+        failure: &AttemptFailure,
+    ) {
+        match failure.seen {
+            Seen::NotSent | Seen::Silent => slot.record_outcome(Sign::Unreachable, ctx),
+            Seen::Failed | Seen::Broken | Seen::Spoilt => slot.record_outcome(Sign::Bad, ctx),
+            Seen::NotRun | Seen::TimeOver => {}
+        }
+        if failure.seen == Seen::Broken {
+            let now = self.node_context.now();
+            let mut state = self.node_context.state();
+            let crashes = state.crash_tracker.record_crash(ctx.fingerprint, now);
+            if crashes >= MAX_CRASHES {
+                state
+                    .unpublished_crash_counts
+                    .push((ctx.fingerprint, crashes));
+            }
+        }
+    }
+
+    pub(super) fn record_request(&self, ctx: &RequestContext<D, C>) {
+        let now = self.node_context.now();
+        let settings = self.node_context.settings().retry_budget;
+        let mut state = self.node_context.state();
+        let budget = state.retry_budgets.entry(ctx.service.clone()).or_default();
+        budget.record_request(settings, now);
+    }
+
+    pub(super) fn record_retry(&self, ctx: &RequestContext<D, C>) {
+        let now = self.node_context.now();
+        let settings = self.node_context.settings().retry_budget;
+        let mut state = self.node_context.state();
+        let budget = state.retry_budgets.entry(ctx.service.clone()).or_default();
+        budget.record_retry(settings, now);
+    }
+}
--- a/crates/hemlockhitch_gateway/src/controller/mod.rs
+++ b/crates/hemlockhitch_gateway/src/controller/mod.rs
@@ -5,6 +5,7 @@
 //! Every node applies what the store holds, so that a step survives the node that took
 //! it.
 
+mod crash_counts;
 mod evidence;
 mod fence;
 mod pins;
@@ -105,7 +106,7 @@
             tracing::warn!(event = "HH1258", %error, "failed to publish pinned sessions");
             return false;
         }
-        if let Err(error) = self.publish_crash_counts().await {
+        if let Err(error) = crash_counts::publish(&self.node_context, &self.store).await {
             tracing::warn!(event = "HH1253", %error, "failed to publish a crash count");
             return false;
         }
@@ -293,36 +294,6 @@
             .insert(service.clone(), published_status);
         Ok(())
     }
-
-    async fn publish_crash_counts(&self) -> Result<(), KeyValueError> {
-        let crash_counts = std::mem::take(&mut self.node_context.state().unpublished_crash_counts);
-        for (fingerprint, crashes) in crash_counts {
-            self.publish_crash_count(fingerprint, crashes).await?;
-        }
-        Ok(())
-    }
-
-    async fn publish_crash_count(
-        &self,
-        fingerprint: u64,
-        crashes: u32,
-    ) -> Result<(), KeyValueError> {
-        let lease = self.node_context.state().lease;
-        let swap = Swap {
-            key: format!("{CRASH_COUNT_PREFIX}{fingerprint:016x}"),
-            expected: Expected::Any,
-            value: Some(crashes.to_string()),
-            lease,
-        };
-        self.store.swap(swap).await?;
-        tracing::warn!(
-            event = "HH1254",
-            fingerprint,
-            crashes,
-            "request suspected of crashing endpoints"
-        );
-        Ok(())
-    }
 }
 
 /// Returns one stage for all stages that the operator sees as the same status.
--- a/crates/hemlockhitch_gateway/src/state/endpoint.rs
+++ b/crates/hemlockhitch_gateway/src/state/endpoint.rs
@@ -50,8 +50,8 @@
         let pauses = settings.pauses();
         let pause_ms = pauses.pause_ms(requested, endpoint.name_hash);
         endpoint.record_pause(pause_ms, now);
-        if pauses.is_senseless(requested) {
-            tracing::warn!(event = "HH1234", %name, ?requested, pause_ms, "endpoint asked for a senseless pause");
+        if pauses.is_invalid(requested) {
+            tracing::warn!(event = "HH1234", %name, ?requested, pause_ms, "endpoint asked for an invalid pause");
         } else {
             tracing::info!(event = "HH1233", %name, ?requested, pause_ms, "endpoint asked for a pause");
         }
--- a/crates/hemlockhitch_ports/src/key_value/mod.rs
+++ b/crates/hemlockhitch_ports/src/key_value/mod.rs
@@ -62,6 +62,10 @@
         0
     }
 
+    /// Records an epoch of the service that another client has seen. Answers of earlier
+    /// epochs are then dropped.
+    fn observe_epoch(&self, _epoch: u64) {}
+
     /// Returns the changes under `prefix` after `revision`, and waits up to `wait_ms`
     /// for the first one.
     ///
--- a/crates/hemlockhitch_routing/src/limits/pause.rs
+++ b/crates/hemlockhitch_routing/src/limits/pause.rs
@@ -52,7 +52,7 @@
 
     /// Returns whether a request for a pause is not honoured as it was made.
     #[must_use]
-    pub fn is_senseless(self, requested: RequestedPause) -> bool {
+    pub fn is_invalid(self, requested: RequestedPause) -> bool {
         match requested {
             RequestedPause::Ms(requested_ms) => requested_ms > self.max_pause_ms,
             RequestedPause::Unreadable => true,
--- a/crates/hemlockhitch_routing/src/source.rs
+++ b/crates/hemlockhitch_routing/src/source.rs
@@ -42,11 +42,11 @@
 const STORE_FALLBACK_MS: u64 = 1_000;
 
 /// Age of its knowledge at which any node asks the store itself, in milliseconds.
-const SELF_HELP_AGE_MS: u64 = 2_500;
+const SELF_HELP_AGE_MS: u64 = 1_200;
 
 /// Range over which nodes are spread beyond [`SELF_HELP_AGE_MS`], in milliseconds, so
 /// that most of them learn from those that ask first.
-const SELF_HELP_SPREAD_MS: u64 = 1_500;
+const SELF_HELP_SPREAD_MS: u64 = 500;
 
 /// Time after the start for which a node gives each node ranked before it to load the
 /// store's content, in milliseconds.
--- a/crates/hemlockhitch_routing/tests/departure.rs
+++ b/crates/hemlockhitch_routing/tests/departure.rs
@@ -156,14 +156,14 @@
 }
 
 #[test]
-fn endpoint_pause_without_sense_is_bounded() {
+fn endpoint_pause_that_is_invalid_is_bounded() {
     let settings = settings("node-1");
     let years = RequestedPause::Ms(u64::MAX);
     assert!(settings.pause_ms(years, 7) <= 61_000);
-    assert!(settings.is_senseless(years));
+    assert!(settings.is_invalid(years));
     assert_eq!(settings.pause_ms(RequestedPause::Unreadable, 7), 0);
-    assert!(settings.is_senseless(RequestedPause::Unreadable));
-    assert!(!settings.is_senseless(RequestedPause::Ms(60_000)));
+    assert!(settings.is_invalid(RequestedPause::Unreadable));
+    assert!(!settings.is_invalid(RequestedPause::Ms(60_000)));
 }
 
 /// Plays 60 nodes that were turned away at the same moment by an endpoint with 8 slots
