--- a/crates/hemlockhitch_gateway/src/state/exchange.rs
+++ b/crates/hemlockhitch_gateway/src/state/exchange.rs
@@ -1,4 +1,4 @@
-//! What nodes tell each other about endpoints.
+//! Exchange of endpoint states between nodes.
 
 use std::sync::{MutexGuard, PoisonError};
 
--- a/crates/hemlockhitch_policy/src/cascade/mod.rs
+++ b/crates/hemlockhitch_policy/src/cascade/mod.rs
@@ -27,7 +27,7 @@
 ///
 /// let cascade = CascadePolicy::new(0.95);
 /// let key = CascadeKey {
-///     organisation: "karjamaa".into(),
+///     organisation: "org-1".into(),
 ///     class: Class::Chat,
 /// };
 /// let options = [ModelOption::new("small", 1.0), ModelOption::new("large", 9.0)];
--- a/crates/hemlockhitch_routing/src/cascade/gain.rs
+++ b/crates/hemlockhitch_routing/src/cascade/gain.rs
@@ -63,7 +63,7 @@
         }
         let gain = self.gains.entry(step).or_default();
         *gain = gain.decayed(now);
-        // Steps from a low confidence tell more about the ratio.
+        // The ratio is measured more precisely from a low confidence.
         let weight = remaining / 100.0;
         gain.weight += weight;
         gain.ratio_sum += weight * (f64::from(to_percent) - f64::from(from_percent)) / remaining;
