Log the prompt parts and the endpoint of attempts that break off

Cause of this change: HH1224 names neither the parts nor whether the endpoint had begun, so a crash by the part could not be told from one by the request.

--- a/crates/hemlockhitch_gateway/src/attempt/record.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/record.rs
@@ -73,6 +73,7 @@
     pub(super) fn record_failure(
         &self,
         ctx: &RequestContext<D, C>,
+        history: &AttemptHistory,
         slot: &EndpointSlot<D, C>,
         failure: &AttemptFailure,
     ) {
@@ -82,6 +83,15 @@
             Seen::NotRun | Seen::TimeOver => {}
         }
         if failure.seen == Seen::Broken {
+            tracing::info!(
+                event = "HH1235",
+                request = ctx.metadata.request_id,
+                name = %slot.name,
+                held_ms = slot.held_ms(),
+                model_size = history.model_size,
+                parts = ?ctx.metadata.parts.iter().map(|part| part.id).collect::<Vec<_>>(),
+                "attempt broken off before its first event"
+            );
             let now = self.node_context.now();
             let mut state = self.node_context.state();
             let crashes = state.crash_tracker.record_crash(ctx.fingerprint, now);
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -121,7 +121,7 @@
                 }
                 Err(failure) => {
                     if let Some(slot) = &slot {
-                        self.record_failure(ctx, slot, &failure);
+                        self.record_failure(ctx, history, slot, &failure);
                     }
                     drop(slot);
                     history.end_attempt(failure.seen);
