Block prompt parts that crash endpoints on every node

Cause: crashes were counted by the whole request and shared through the store, one number each. No two requests were alike, so nothing counted the part, and counts of several nodes could not be added without counting twice. The class of fault: evidence that no node has alone, kept under a key that does not repeat.

Change: crash_tracker keeps facts instead of counts (suspect, instance, request), for the request and each shared part of its prompt. Facts merge in any order and any number of times, and every node derives the same verdicts from them. A part is blocked from four crashes under two requests on; what other parts explain does not count against it, and while a part of the same requests explains them as well, only requests with both are blocked, so that sound ones show which it is. A served request or an endpoint that goes on refutes earlier records.

--- a/crates/hemlockhitch/src/gateway/mod.rs
+++ b/crates/hemlockhitch/src/gateway/mod.rs
@@ -7,8 +7,8 @@
 use hemlockhitch_adapter::{PlatformDialect, PlatformStore};
 use hemlockhitch_config::settings::GatewayFile;
 use hemlockhitch_gateway::{
-    Gateway, Listener, NodeContext, Readiness, follow_store, register_node, report_gauges,
-    run_roll_out_controller,
+    Gateway, Listener, NodeContext, Readiness, exchange_facts, follow_store, register_node,
+    report_gauges, run_roll_out_controller,
 };
 use hemlockhitch_http::server::ApiServer;
 use hemlockhitch_model::BootClock;
@@ -72,6 +72,7 @@
                 feed_address,
             )),
             tokio::spawn(report_gauges(node_context.clone())),
+            tokio::spawn(exchange_facts(node_context.clone())),
             tokio::spawn(run_roll_out_controller(node_context, store)),
         ];
         tracing::info!(
--- a/crates/hemlockhitch_gateway/src/attempt/admit.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/admit.rs
@@ -154,13 +154,7 @@
             )
         })?;
         let ctx = RequestContext::new(received, route, organisation, service, in_flight_guard);
-        let now = self.node_context.now();
-        if self
-            .node_context
-            .state()
-            .crash_tracker
-            .is_blocked(ctx.fingerprint, now)
-        {
+        if self.is_blocked(&ctx) {
             let message = "endpoints crashed under this request; do not send it again";
             return Err(Refusal::new(StatusCode::BAD_GATEWAY, message));
         }
--- a/crates/hemlockhitch_gateway/src/attempt/context.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/context.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hemlockhitch_model::{Clock, EndpointKey, Now, ServiceName};
 use hemlockhitch_routing::catalogue::{Organisation, Route};
+use hemlockhitch_routing::crash_tracker::RequestTraits;
 use hemlockhitch_routing::retry::{AttemptSummary, Seen};
 use hemlockhitch_routing::{hash_bytes, mix};
 use http::request::Parts;
@@ -79,6 +80,14 @@
         }
     }
 
+    /// Returns the properties by which crashes of endpoints are attributed.
+    pub(super) fn traits(&self) -> RequestTraits<'_> {
+        RequestTraits {
+            fingerprint: self.fingerprint,
+            parts: &self.metadata.parts,
+        }
+    }
+
     /// Returns the time left until the request's timeout, in milliseconds.
     pub(super) fn remaining_ms(&self, now: Now) -> u64 {
         let passed_ms = now.mono_ms.saturating_sub(self.received_at.mono_ms);
--- a/crates/hemlockhitch_gateway/src/attempt/record.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/record.rs
@@ -2,7 +2,6 @@
 
 use hemlockhitch_model::Clock;
 use hemlockhitch_routing::cascade::{FirstEventSample, Step};
-use hemlockhitch_routing::crash_tracker::MAX_CRASHES;
 use hemlockhitch_routing::fleet::Sign;
 use hemlockhitch_routing::retry::Seen;
 
@@ -92,14 +91,8 @@
                 parts = ?ctx.metadata.parts.iter().map(|part| part.id).collect::<Vec<_>>(),
                 "attempt broken off before its first event"
             );
-            let now = self.node_context.now();
-            let mut state = self.node_context.state();
-            let crashes = state.crash_tracker.record_crash(ctx.fingerprint, now);
-            if crashes >= MAX_CRASHES {
-                state
-                    .unpublished_crash_counts
-                    .push((ctx.fingerprint, crashes));
-            }
+            self.node_context
+                .record_crash(ctx.traits(), slot.instance_hash);
         }
     }
 
--- a/crates/hemlockhitch_gateway/src/attempt/relay.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/relay.rs
@@ -25,6 +25,10 @@
 /// When it expires, another endpoint resumes the stream.
 const IDLE_TIMEOUT_SLO_MULTIPLE: u64 = 2;
 
+/// Number of events after which an endpoint has not crashed under a request: it may crash
+/// while it begins the first one.
+const SERVED_EVENTS: u64 = 2;
+
 /// Latency objective between events, in milliseconds, for routes that set none.
 const DEFAULT_INTER_EVENT_SLO_MS: u64 = 1_000;
 
@@ -108,6 +112,9 @@
                     self.history.last_event_id = event.id.or(self.history.last_event_id);
                     self.history.response_started = true;
                     events += 1;
+                    if events == SERVED_EVENTS {
+                        self.gateway.node_context.record_served(self.ctx.traits());
+                    }
                     let now_mono_ms = self.gateway.node_context.now().mono_ms;
                     if let Some(last_mono_ms) = last_mono_ms.replace(now_mono_ms) {
                         inter_event_histogram
@@ -123,6 +130,9 @@
                     }
                 }
                 Some(StreamItem::End) => {
+                    if events < SERVED_EVENTS {
+                        self.gateway.node_context.record_served(self.ctx.traits());
+                    }
                     stream.slot.record_inter_event_latency(events, &self.ctx);
                     let (slot, connection, keepalive_ms) = stream.finish();
                     self.gateway
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -88,6 +88,9 @@
         history: &mut AttemptHistory,
     ) -> Result<OpenedResponse<D, C>, RequestFailure> {
         loop {
+            if self.is_blocked(ctx) {
+                return Err(blocked(history));
+            }
             let Some(slot) = EndpointSlot::acquire(&self.node_context, ctx, history) else {
                 return Err(self.no_endpoint_available(ctx, history));
             };
@@ -113,10 +116,9 @@
                         history.may_have_run = true;
                         continue;
                     }
-                    self.node_context
-                        .state()
-                        .crash_tracker
-                        .clear(ctx.fingerprint);
+                    if matches!(accepted.response, OpenedResponse::Buffered(_)) {
+                        self.node_context.record_served(ctx.traits());
+                    }
                     return Ok(accepted.response);
                 }
                 Err(failure) => {
@@ -131,6 +133,13 @@
         }
     }
 
+    /// Returns whether a request is sent to no endpoint, because endpoints crashed under
+    /// it or a part of its prompt.
+    pub(super) fn is_blocked(&self, ctx: &RequestContext<D, C>) -> bool {
+        let state = self.node_context.state();
+        state.crash_tracker.is_blocked(ctx.traits())
+    }
+
     /// Decides whether to try another endpoint after a failed attempt.
     fn continue_after_failure(
         &self,
@@ -173,7 +182,7 @@
             });
         within_budget
             && history.has_attempts_left(ctx.route.max_attempts)
-            && !state.crash_tracker.is_blocked(ctx.fingerprint, now)
+            && !state.crash_tracker.is_blocked(ctx.traits())
     }
 
     /// Returns the index of a larger model to try instead of relaying an accepted
@@ -295,6 +304,20 @@
     }
 }
 
+/// The failure of a request that is sent to no endpoint any more. It is not reported as
+/// "not run", since callers would send it again.
+fn blocked(history: &AttemptHistory) -> RequestFailure {
+    let outcome = if history.response_started {
+        Final::BreakOff
+    } else {
+        Final::Unknown
+    };
+    RequestFailure {
+        outcome,
+        error_response: None,
+    }
+}
+
 /// Returns how long an attempt waits for a response before another endpoint is tried.
 /// Requests that must not run twice wait until their deadline.
 fn response_timeout<D: Dialect, C: Clock>(
--- a/crates/hemlockhitch_gateway/src/attempt/send.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/send.rs
@@ -111,6 +111,10 @@
             return (Err(Seen::Spoilt.into()), Some(slot));
         }
         let status = response.status();
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            self.node_context
+                .record_response(slot.instance_hash, slot.acquired_mono_ms);
+        }
         let is_accepted = status.is_success() && metadata.signed && !metadata.encoded;
         let confidence_percent = metadata.confidence_percent;
         if is_accepted && ctx.route.kind.is_stream() {
--- a/crates/hemlockhitch_gateway/src/attempt/slot.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/slot.rs
@@ -33,12 +33,14 @@
     pub(super) endpoint: EndpointKey,
     pub(super) name: EndpointName,
     pub(super) address: SocketAddr,
+    /// Hash of the endpoint's instance.
+    pub(super) instance_hash: u64,
     /// Priority of the request at the endpoint; 0 is the highest.
     pub(super) priority: u8,
     version: VersionName,
     model_hash: u64,
     pending_prefill_tokens: u64,
-    acquired_mono_ms: u64,
+    pub(super) acquired_mono_ms: u64,
     prefilled_mono_ms: u64,
 }
 
@@ -95,6 +97,7 @@
         let version = endpoint_state.entry.version.clone();
         let name = endpoint_state.entry.name.clone();
         let address = endpoint_state.entry.address;
+        let instance_hash = endpoint_state.entry.instance_hash();
         state.session_affinity.record(ctx.session, &version, now);
         if let Some(roll_out) = state.roll_outs.get_mut(&ctx.service) {
             roll_out.record_request(&version, now);
@@ -111,6 +114,7 @@
             endpoint,
             name,
             address,
+            instance_hash,
             priority,
             version,
             model_hash,
--- a/crates/hemlockhitch_gateway/src/controller/mod.rs
+++ b/crates/hemlockhitch_gateway/src/controller/mod.rs
@@ -1,22 +1,21 @@
-//! Roll-out controller: moves roll-outs from stage to stage and shares the crash
-//! counts of requests through the store.
+//! Roll-out controller: moves roll-outs from stage to stage and keeps in the store what
+//! crashes endpoints.
 //!
 //! Any node may take the next step; a compare-and-swap lets only one of them do it.
 //! Every node applies what the store holds, so that a step survives the node that took
 //! it.
 
-mod crash_counts;
+mod crash_records;
 mod evidence;
 mod fence;
 mod pins;
 mod record;
 mod reports;
 
+pub(crate) use crash_records::{CRASHES_PREFIX, apply_crashes};
 pub(crate) use evidence::{EVIDENCE_PREFIX, apply_evidence};
 pub(crate) use pins::{PINS_PREFIX, apply_pins};
-pub(crate) use record::{
-    CRASH_COUNT_PREFIX, STAGE_PREFIX, StageRecord, apply_crash_count, apply_stage,
-};
+pub(crate) use record::{STAGE_PREFIX, StageRecord, apply_stage};
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -106,8 +105,8 @@
             tracing::warn!(event = "HH1258", %error, "failed to publish pinned sessions");
             return false;
         }
-        if let Err(error) = crash_counts::publish(&self.node_context, &self.store).await {
-            tracing::warn!(event = "HH1253", %error, "failed to publish a crash count");
+        if let Err(error) = crash_records::publish(&self.node_context, &self.store).await {
+            tracing::warn!(event = "HH1253", %error, "failed to write crashes of endpoints to the store");
             return false;
         }
         for service in self.services() {
--- a/crates/hemlockhitch_gateway/src/controller/record.rs
+++ b/crates/hemlockhitch_gateway/src/controller/record.rs
@@ -1,6 +1,6 @@
 //! Records that nodes share through the store.
 
-use hemlockhitch_model::{Now, ServiceName, StorePosition};
+use hemlockhitch_model::{ServiceName, StorePosition};
 use hemlockhitch_ports::key_value::Entry;
 use hemlockhitch_routing::roll_out::{Order, Stage};
 use serde::{Deserialize, Serialize};
@@ -10,9 +10,6 @@
 /// Key prefix of roll-out stages; the service follows.
 pub(crate) const STAGE_PREFIX: &str = "hemlockhitch/stage/";
 
-/// Key prefix of the crash counts of requests; the fingerprint follows.
-pub(crate) const CRASH_COUNT_PREFIX: &str = "hemlockhitch/suspect/";
-
 /// The stage of a roll-out, with its target version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -127,17 +124,3 @@
         }
     }
 }
-
-pub(crate) fn apply_crash_count(state: &mut State, fingerprint: &str, entry: &Entry, now: Now) {
-    let fingerprint = u64::from_str_radix(fingerprint, 16);
-    match (fingerprint, entry.value.parse()) {
-        (Ok(fingerprint), Ok(crashes)) => state.crash_tracker.merge_peer(fingerprint, crashes, now),
-        _ => {
-            tracing::warn!(
-                event = "HH1256",
-                key = entry.key,
-                "invalid crash count in the store"
-            );
-        }
-    }
-}
--- a/crates/hemlockhitch_gateway/src/feed/apply.rs
+++ b/crates/hemlockhitch_gateway/src/feed/apply.rs
@@ -39,8 +39,8 @@
         controller::apply_stage(&mut node_context.state(), &service, entry, epoch);
         return;
     }
-    if let Some(fingerprint) = entry.key.strip_prefix(controller::CRASH_COUNT_PREFIX) {
-        controller::apply_crash_count(&mut node_context.state(), fingerprint, entry, now);
+    if entry.key.starts_with(controller::CRASHES_PREFIX) {
+        controller::apply_crashes(node_context, entry);
         return;
     }
     if let Some(service_and_node) = entry.key.strip_prefix(controller::PINS_PREFIX) {
--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -80,10 +80,8 @@
         let sent = self.node_context.now();
         let source = {
             let state = self.node_context.state();
-            let nodes = state.nodes.iter();
-            let nodes = nodes.filter_map(|(name, record)| record.followable(name));
             self.selector
-                .select(nodes, state.freshness.age_ms(sent), sent)
+                .select(state.followable(), state.freshness.age_ms(sent), sent)
         };
         match source {
             Source::Store => self.ask_store(sent).await,
--- a/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
+++ b/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
@@ -71,6 +71,69 @@
     #[prost(uint64, tag = "3")]
     pub version: u64,
 }
+/// Facts that can be merged in any order and more than once.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Facts {
+    /// Digest of all facts that the sending node knows.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    /// Whether the reply is to hold every fact of the replying node if its digest differs.
+    #[prost(bool, tag = "2")]
+    pub compare: bool,
+    #[prost(message, repeated, tag = "3")]
+    pub crashes: ::prost::alloc::vec::Vec<CrashFact>,
+    #[prost(message, repeated, tag = "4")]
+    pub served: ::prost::alloc::vec::Vec<ServedFact>,
+    #[prost(message, repeated, tag = "5")]
+    pub alive: ::prost::alloc::vec::Vec<AliveFact>,
+}
+/// What may make endpoints crash.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Suspect {
+    #[prost(oneof = "suspect::Kind", tags = "1, 2")]
+    pub kind: ::core::option::Option<suspect::Kind>,
+}
+/// Nested message and enum types in `Suspect`.
+pub mod suspect {
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Kind {
+        /// Fingerprint of a request.
+        #[prost(fixed64, tag = "1")]
+        Request(u64),
+        /// Identifier of a part of prompts.
+        #[prost(fixed64, tag = "2")]
+        PromptPart(u64),
+    }
+}
+/// An endpoint disconnected before it had begun its response to a request.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashFact {
+    #[prost(message, optional, tag = "1")]
+    pub suspect: ::core::option::Option<Suspect>,
+    #[prost(fixed64, tag = "2")]
+    pub instance_hash: u64,
+    /// Fingerprint of the request.
+    #[prost(fixed64, tag = "3")]
+    pub fingerprint: u64,
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+}
+/// A request with the suspect was served.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServedFact {
+    #[prost(message, optional, tag = "1")]
+    pub suspect: ::core::option::Option<Suspect>,
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+/// An instance responded that had disconnected before.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AliveFact {
+    #[prost(fixed64, tag = "1")]
+    pub instance_hash: u64,
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
 /// Generated client implementations.
 pub mod feed_client {
     #![allow(
@@ -173,6 +236,28 @@
                 .insert(GrpcMethod::new("hemlockhitch.feed.Feed", "Follow"));
             self.inner.unary(req, path, codec).await
         }
+        /// Exchanges facts that the nodes observed themselves.
+        pub async fn exchange(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Facts>,
+        ) -> std::result::Result<tonic::Response<super::Facts>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/hemlockhitch.feed.Feed/Exchange",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("hemlockhitch.feed.Feed", "Exchange"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -193,6 +278,11 @@
             &self,
             request: tonic::Request<super::FollowRequest>,
         ) -> std::result::Result<tonic::Response<super::FollowReply>, tonic::Status>;
+        /// Exchanges facts that the nodes observed themselves.
+        async fn exchange(
+            &self,
+            request: tonic::Request<super::Facts>,
+        ) -> std::result::Result<tonic::Response<super::Facts>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct FeedServer<T> {
@@ -313,6 +403,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/hemlockhitch.feed.Feed/Exchange" => {
+                    #[allow(non_camel_case_types)]
+                    struct ExchangeSvc<T: Feed>(pub Arc<T>);
+                    impl<T: Feed> tonic::server::UnaryService<super::Facts>
+                    for ExchangeSvc<T> {
+                        type Response = super::Facts;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Facts>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Feed>::exchange(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ExchangeSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/crates/hemlockhitch_gateway/src/lib.rs
+++ b/crates/hemlockhitch_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod dialect;
 mod events;
 mod feed;
+mod gossip;
 mod listener;
 mod membership;
 mod peer;
@@ -32,6 +33,7 @@
     UpstreamMetadata,
 };
 pub use feed::follow_store;
+pub use gossip::exchange_facts;
 pub use listener::{Listener, Readiness, serve_readiness};
 pub use membership::register_node;
 pub use peer::{Applied, Mirror, serve_feed};
--- a/crates/hemlockhitch_gateway/src/peer/client.rs
+++ b/crates/hemlockhitch_gateway/src/peer/client.rs
@@ -48,10 +48,39 @@
 
 /// Channels to the nodes that were called, by address.
 #[derive(Debug, Default)]
-pub(crate) struct FeedClients {
+pub(crate) struct PeerChannels {
     channels: HashMap<String, Channel>,
 }
 
+impl PeerChannels {
+    /// Returns the channel to a node, which connects with the first call; `None` if the
+    /// address is invalid.
+    pub(crate) fn get(&mut self, address: &str) -> Option<Channel> {
+        if let Some(channel) = self.channels.get(address) {
+            return Some(channel.clone());
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{address}"));
+        let channel = endpoint
+            .ok()?
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .connect_lazy();
+        self.channels.insert(address.to_owned(), channel.clone());
+        Some(channel)
+    }
+
+    /// Closes the channel to a node.
+    pub(crate) fn remove(&mut self, address: &str) {
+        self.channels.remove(address);
+    }
+}
+
+/// Calls nodes for the store's content.
+#[derive(Debug, Default)]
+pub(crate) struct FeedClients {
+    channels: PeerChannels,
+}
+
 impl FeedClients {
     /// Requests the changes after a revision from a node.
     pub(crate) async fn follow(
@@ -74,7 +103,7 @@
         address: &str,
         request: wire::FollowRequest,
     ) -> Result<FeedReply, String> {
-        let channel = self.channel(address)?;
+        let channel = self.channels.get(address).ok_or("the address is invalid")?;
         let mut client = FeedClient::new(channel).max_decoding_message_size(MAX_REPLY_BYTES);
         let margin = if request.revision == 0 {
             COMPLETE_CALL_MARGIN
@@ -88,20 +117,6 @@
             Err(_) => Err("timed out".to_owned()),
         }
     }
-
-    fn channel(&mut self, address: &str) -> Result<Channel, String> {
-        if let Some(channel) = self.channels.get(address) {
-            return Ok(channel.clone());
-        }
-        let endpoint = Endpoint::from_shared(format!("http://{address}"));
-        let channel = endpoint
-            .map_err(|error| error.to_string())?
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
-            .connect_lazy();
-        self.channels.insert(address.to_owned(), channel.clone());
-        Ok(channel)
-    }
 }
 
 fn read_reply(reply: wire::FollowReply) -> FeedReply {
--- a/crates/hemlockhitch_gateway/src/peer/mod.rs
+++ b/crates/hemlockhitch_gateway/src/peer/mod.rs
@@ -6,7 +6,7 @@
 mod mirror;
 mod server;
 
-pub(crate) use client::FeedClients;
+pub(crate) use client::{FeedClients, PeerChannels};
 pub(crate) use loads::{EndpointLoads, LoadTable};
 pub use mirror::{Applied, Mirror};
 pub(crate) use server::loads_to_wire;
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -128,6 +128,14 @@
         let leaving = self.node_context.leaving();
         Ok(Response::new(write_reply(batch, age_ms, &loads, leaving)))
     }
+
+    async fn exchange(
+        &self,
+        request: Request<wire::Facts>,
+    ) -> Result<Response<wire::Facts>, Status> {
+        let reply = self.node_context.exchange_facts(&request.into_inner());
+        Ok(Response::new(reply))
+    }
 }
 
 impl<D: Dialect, C: Clock> FeedService<D, C> {
--- /dev/null
+++ b/crates/hemlockhitch_gateway/src/state/crash.rs
@@ -0,0 +1,80 @@
+//! What attempts show about requests that crash endpoints.
+
+use hemlockhitch_model::Clock;
+use hemlockhitch_routing::crash_tracker::{CrashTracker, Evidence, RequestTraits};
+
+use super::{NodeContext, State};
+use crate::dialect::Dialect;
+
+/// Maximum number of blocked suspects that wait to be written to the store.
+const MAX_UNPUBLISHED: usize = 64;
+
+impl<D: Dialect, C: Clock> NodeContext<D, C> {
+    /// Records that an endpoint disconnected before it had begun its response to a
+    /// request.
+    pub(crate) fn record_crash(&self, request: RequestTraits<'_>, instance_hash: u64) {
+        let now = self.now();
+        self.update_crashes(|tracker| tracker.record_crash(request, instance_hash, now));
+    }
+
+    /// Records that an endpoint has responded to a request beyond the beginning.
+    pub(crate) fn record_served(&self, request: RequestTraits<'_>) {
+        let now = self.now();
+        self.update_crashes(|tracker| tracker.record_served(request, now));
+    }
+
+    /// Records that an instance responded to a request that was sent at `sent_mono_ms`.
+    pub(crate) fn record_response(&self, instance_hash: u64, sent_mono_ms: u64) {
+        let now = self.now();
+        self.update_crashes(|tracker| tracker.record_response(instance_hash, sent_mono_ms, now));
+    }
+
+    /// Merges the facts that another node or the store knows.
+    pub(crate) fn merge_evidence(&self, evidence: &Evidence) {
+        let now = self.now();
+        self.update_crashes(|tracker| tracker.merge(evidence, now));
+    }
+
+    /// Drops facts that no longer count.
+    pub(crate) fn expire_crashes(&self) {
+        let now = self.now();
+        self.update_crashes(|tracker| tracker.judge(now));
+    }
+
+    fn update_crashes(&self, update: impl FnOnce(&mut CrashTracker)) {
+        let now = self.now();
+        let mut state = self.state();
+        let before = state.crash_tracker.sequence();
+        update(&mut state.crash_tracker);
+        let has_learned = state.crash_tracker.sequence() > before;
+        state.report_verdicts(now);
+        drop(state);
+        if has_learned {
+            self.inner.facts_learned.notify_one();
+        }
+    }
+}
+
+impl State {
+    fn report_verdicts(&mut self, now: hemlockhitch_model::Now) {
+        let changes = self.crash_tracker.take_changes();
+        for suspect in changes.released {
+            tracing::info!(event = "HH1237", ?suspect, "no longer blocked");
+        }
+        for (verdict, has_own_crash) in changes.blocked {
+            let suspect = verdict.suspect;
+            tracing::warn!(
+                event = "HH1236",
+                ?suspect,
+                alternatives = ?verdict.alternatives,
+                crashes = verdict.crashes,
+                has_own_crash,
+                "blocked, because endpoints crashed under it"
+            );
+            if has_own_crash && self.unpublished_crashes.len() < MAX_UNPUBLISHED {
+                let evidence = self.crash_tracker.evidence_for(&verdict, now);
+                self.unpublished_crashes.push_back((suspect, evidence));
+            }
+        }
+    }
+}
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -1,22 +1,24 @@
 //! State shared by the tasks of a node.
 
+mod crash;
 mod endpoint;
 mod exchange;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use hemlockhitch_model::{Clock, Now, ServiceName, StorePosition};
 use hemlockhitch_ports::key_value::LeaseId;
 use hemlockhitch_routing::cascade::{ConfidenceGains, LatencyPressure};
 use hemlockhitch_routing::catalogue::{Catalogue, Service};
-use hemlockhitch_routing::crash_tracker::CrashTracker;
+use hemlockhitch_routing::crash_tracker::{CrashTracker, Evidence, Suspect};
 use hemlockhitch_routing::fleet::Fleet;
 use hemlockhitch_routing::limits::{ColdRate, RetryBudget};
-use hemlockhitch_routing::roll_out::{Evidence, RollOut, Stage};
+use hemlockhitch_routing::roll_out::{self, RollOut, Stage};
+use hemlockhitch_routing::source::FollowableNode;
 use hemlockhitch_routing::{Freshness, SessionAffinity, WorkRanks, hash_bytes};
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::connection::ConnectionPool;
 use crate::controller::StageRecord;
@@ -43,10 +45,10 @@
     /// Roll-outs by service.
     pub roll_outs: HashMap<ServiceName, RollOut>,
     /// Baseline evidence of services without an active roll-out.
-    pub baselines: HashMap<ServiceName, Evidence>,
+    pub baselines: HashMap<ServiceName, roll_out::Evidence>,
     /// The versions that served recent sessions.
     pub session_affinity: SessionAffinity,
-    /// Crash counts of requests that were running when an endpoint crashed.
+    /// Requests and prompt parts that were at endpoints when these crashed.
     pub crash_tracker: CrashTracker,
     /// Original requests and retries, by service.
     pub retry_budgets: HashMap<ServiceName, RetryBudget>,
@@ -71,8 +73,8 @@
     /// Whether the lease was lost with an epoch of the store, so that the node's keys
     /// must wait for a new one.
     pub(crate) lease_is_void: bool,
-    /// Crash counts that are not published yet, with the fingerprint of the request.
-    pub(crate) unpublished_crash_counts: Vec<(u64, u32)>,
+    /// Blocked suspects that are not in the store yet, with the crashes that show it.
+    pub(crate) unpublished_crashes: VecDeque<(Suspect, Evidence)>,
     /// Number of requests in flight.
     pub in_flight: usize,
 }
@@ -100,7 +102,7 @@
             own_pins: HashMap::new(),
             lease: None,
             lease_is_void: false,
-            unpublished_crash_counts: Vec::new(),
+            unpublished_crashes: VecDeque::new(),
             in_flight: 0,
         }
     }
@@ -124,6 +126,12 @@
         index.map_or(0, |index| index as u64)
     }
 
+    /// Returns the registered nodes that state their address.
+    pub(crate) fn followable(&self) -> impl Iterator<Item = FollowableNode<'_>> {
+        let nodes = self.nodes.iter();
+        nodes.filter_map(|(name, record)| record.followable(name))
+    }
+
     /// Returns the number of nodes that shared limits are divided over; at least one.
     #[must_use]
     pub fn node_count(&self) -> u32 {
@@ -167,6 +175,8 @@
     mirror: Mutex<Mirror>,
     loads: Mutex<LoadTable>,
     positions: watch::Sender<StorePosition>,
+    /// Notified when this node has learned a fact that other nodes may not know.
+    facts_learned: Notify,
     connection_pool: ConnectionPool,
     dialect: D,
     clock: C,
@@ -191,6 +201,7 @@
                 mirror: Mutex::default(),
                 loads: Mutex::default(),
                 positions: watch::Sender::new(StorePosition::default()),
+                facts_learned: Notify::new(),
                 connection_pool: ConnectionPool::default(),
                 dialect,
                 clock,
@@ -247,6 +258,11 @@
         self.inner.positions.subscribe()
     }
 
+    /// Waits until this node has learned a fact.
+    pub(crate) async fn facts_learned(&self) {
+        self.inner.facts_learned.notified().await;
+    }
+
     pub(crate) fn connection_pool(&self) -> &ConnectionPool {
         &self.inner.connection_pool
     }
--- a/crates/hemlockhitch_routing/src/crash_tracker/mod.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/mod.rs
@@ -1,69 +1,316 @@
-//! Detection of requests that crash the endpoints they run on.
+//! Detection of requests and prompt parts that crash the endpoints they run on.
+//!
+//! It is made for requests that arrive at any node, so that no node sees enough crashes
+//! by itself. Nodes share facts, and facts can be merged in any order and more than once:
+//! nodes that know the same facts block the same requests.
 
-use std::collections::HashMap;
+mod suspect;
+mod verdict;
+
+pub use suspect::{Aged, Crash, Evidence, Refutation, RequestTraits, Suspect};
+pub use verdict::{MAX_CRASHES, Verdict};
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use hemlockhitch_model::Now;
 
-/// Crashes that one request may cause before it is blocked.
-pub const MAX_CRASHES: u32 = 2;
+/// How long a crash counts against a request, in milliseconds.
+const REQUEST_RETENTION_MS: u64 = 60_000;
+
+/// How long a crash counts against a prompt part, and how long a refutation is kept, in
+/// milliseconds.
+const PART_RETENTION_MS: u64 = 300_000;
+
+/// How long a node remembers what it served, in milliseconds: longer than crashes take to
+/// reach the other nodes.
+const SERVED_RETENTION_MS: u64 = 10_000;
+
+/// Number of crash records above which the oldest are dropped.
+const MAX_CRASH_RECORDS: usize = 2_048;
 
-/// Retention of a crash record after its last update, in milliseconds.
-const RETENTION_MS: u64 = 60_000;
+/// Number of refutations above which the oldest are dropped.
+const MAX_REFUTATIONS: usize = 1_024;
 
-/// Number of crash records above which expired ones are removed.
-const SWEEP_SIZE: usize = 1_024;
+/// Number of remembered suspects that were served above which old ones are dropped.
+const SERVED_SWEEP_SIZE: usize = 4_096;
+
+/// Error of the time of a fact that came from another node, in milliseconds: each node
+/// that passes it on adds the time on the way.
+const TIME_ERROR_MS: u64 = 300;
+
+/// When a fact was observed, and in which order it became known to this node.
+#[derive(Clone, Copy, Debug)]
+struct Observed {
+    mono_ms: u64,
+    sequence: u64,
+    /// Whether this node observed it itself.
+    is_own: bool,
+}
 
-/// Crash counts of requests, by fingerprint.
+/// The crashes that this node and others observed.
 #[derive(Clone, Debug, Default)]
 pub struct CrashTracker {
-    records: HashMap<u64, CrashRecord>,
+    crashes: BTreeMap<Crash, Observed>,
+    refutations: BTreeMap<Refutation, Observed>,
+    served_mono_ms: HashMap<Suspect, u64>,
+    verdicts: Vec<Verdict>,
+    reported: BTreeSet<Suspect>,
+    sequence: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct CrashRecord {
-    crashes: u32,
-    last_mono_ms: u64,
+/// How the blocked suspects changed since the last report.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VerdictChanges {
+    /// Newly blocked suspects, and whether this node observed one of the crashes.
+    pub blocked: Vec<(Verdict, bool)>,
+    /// Suspects that are no longer blocked.
+    pub released: Vec<Suspect>,
 }
 
 impl CrashTracker {
-    /// Records that an endpoint disconnected while it ran a request; returns the number
-    /// of crashes recorded for the request.
-    pub fn record_crash(&mut self, fingerprint: u64, now: Now) -> u32 {
-        let record = self.records.entry(fingerprint).or_insert(CrashRecord {
-            crashes: 0,
-            last_mono_ms: now.mono_ms,
-        });
-        record.crashes += 1;
-        record.last_mono_ms = now.mono_ms;
-        let crashes = record.crashes;
-        if self.records.len() > SWEEP_SIZE {
-            self.records
-                .retain(|_, record| now.mono_ms < record.last_mono_ms + RETENTION_MS);
+    /// Records that an endpoint disconnected before it had begun its response to a
+    /// request.
+    pub fn record_crash(&mut self, request: RequestTraits<'_>, instance_hash: u64, now: Now) {
+        for suspect in request.suspects() {
+            let served_mono_ms = self.served_mono_ms.get(&suspect);
+            if served_mono_ms.is_some_and(|served| now.mono_ms <= *served + TIME_ERROR_MS) {
+                continue;
+            }
+            let crash = Crash {
+                suspect,
+                instance_hash,
+                fingerprint: request.fingerprint,
+            };
+            let observed = self.observe(now.mono_ms, true);
+            self.crashes.entry(crash).or_insert(observed);
         }
-        crashes
+        self.judge(now);
     }
 
-    /// Merges the number of crashes that another node recorded.
-    pub fn merge_peer(&mut self, fingerprint: u64, crashes: u32, now: Now) {
-        let record = self.records.entry(fingerprint).or_insert(CrashRecord {
-            crashes,
-            last_mono_ms: now.mono_ms,
-        });
-        record.crashes = record.crashes.max(crashes);
-        record.last_mono_ms = now.mono_ms;
+    /// Records that an endpoint has responded to a request beyond the beginning.
+    pub fn record_served(&mut self, request: RequestTraits<'_>, now: Now) {
+        let mut is_refuting = false;
+        for suspect in request.suspects() {
+            self.served_mono_ms.insert(suspect, now.mono_ms);
+            is_refuting |= self.refute(Refutation::Served(suspect), now.mono_ms);
+        }
+        if self.served_mono_ms.len() > SERVED_SWEEP_SIZE {
+            self.served_mono_ms
+                .retain(|_, at| now.mono_ms < *at + SERVED_RETENTION_MS);
+        }
+        if is_refuting {
+            self.judge(now);
+        }
     }
 
-    /// Removes a request's crash record after a good response, which shows that it is
-    /// not the cause of the crashes.
-    pub fn clear(&mut self, fingerprint: u64) {
-        self.records.remove(&fingerprint);
+    /// Records that an instance responded to a request that was sent at `sent_mono_ms`. If
+    /// it disconnected shortly before, it had not crashed.
+    pub fn record_response(&mut self, instance_hash: u64, sent_mono_ms: u64, now: Now) {
+        let was_suspected = self.crashes.iter().any(|(crash, observed)| {
+            let restart_mono_ms = observed.mono_ms + verdict::MIN_RESTART_MS;
+            crash.instance_hash == instance_hash
+                && (observed.mono_ms..restart_mono_ms).contains(&sent_mono_ms)
+        });
+        if was_suspected && self.refute(Refutation::Alive(instance_hash), sent_mono_ms) {
+            self.judge(now);
+        }
     }
 
     /// Returns whether a request is blocked, that is, sent to no endpoint.
     #[must_use]
-    pub fn is_blocked(&self, fingerprint: u64, now: Now) -> bool {
-        self.records.get(&fingerprint).is_some_and(|record| {
-            record.crashes > MAX_CRASHES && now.mono_ms < record.last_mono_ms + RETENTION_MS
-        })
+    pub fn is_blocked(&self, request: RequestTraits<'_>) -> bool {
+        self.verdicts.iter().any(|verdict| verdict.blocks(&request))
+    }
+
+    /// Returns what is blocked.
+    #[must_use]
+    pub fn verdicts(&self) -> &[Verdict] {
+        &self.verdicts
+    }
+
+    /// Returns how the blocked suspects changed since the last call.
+    pub fn take_changes(&mut self) -> VerdictChanges {
+        let current: BTreeSet<Suspect> = self
+            .verdicts
+            .iter()
+            .map(|verdict| verdict.suspect)
+            .collect();
+        let newly = self.verdicts.iter();
+        let newly = newly.filter(|verdict| !self.reported.contains(&verdict.suspect));
+        let blocked = newly.map(|verdict| (verdict.clone(), self.has_own_crash(verdict.suspect)));
+        let changes = VerdictChanges {
+            blocked: blocked.collect(),
+            released: self.reported.difference(&current).copied().collect(),
+        };
+        self.reported = current;
+        changes
+    }
+
+    /// Returns the number of facts that this node has learned so far, which grows with
+    /// each one.
+    #[must_use]
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Returns the facts that this node learned after a sequence number.
+    #[must_use]
+    pub fn evidence_since(&self, sequence: u64, now: Now) -> Evidence {
+        Evidence {
+            crashes: aged_since(&self.crashes, sequence, now),
+            refutations: aged_since(&self.refutations, sequence, now),
+        }
+    }
+
+    /// Returns the crashes on which a verdict rests.
+    #[must_use]
+    pub fn evidence_for(&self, verdict: &Verdict, now: Now) -> Evidence {
+        let is_part_of = |crash: &Crash| {
+            crash.suspect == verdict.suspect || verdict.alternatives.contains(&crash.suspect)
+        };
+        let mut evidence = self.evidence_since(0, now);
+        evidence.crashes.retain(|crash| is_part_of(&crash.fact));
+        evidence.refutations.clear();
+        evidence
+    }
+
+    /// Returns a digest of the crashes; equal if two nodes know the same ones.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.crashes
+            .keys()
+            .fold(0, |digest, crash| digest ^ crash.hash())
+    }
+
+    /// Merges the facts that another node knows.
+    pub fn merge(&mut self, evidence: &Evidence, now: Now) {
+        let before = self.sequence;
+        for refutation in &evidence.refutations {
+            let at_mono_ms = now.mono_ms.saturating_sub(refutation.age_ms);
+            self.merge_refutation(refutation.fact, at_mono_ms);
+        }
+        for crash in &evidence.crashes {
+            self.merge_crash(crash.fact, now.mono_ms.saturating_sub(crash.age_ms), now);
+        }
+        if self.sequence > before {
+            self.judge(now);
+        }
+    }
+
+    fn merge_crash(&mut self, crash: Crash, at_mono_ms: u64, now: Now) {
+        if let Some(known) = self.crashes.get_mut(&crash) {
+            known.mono_ms = known.mono_ms.min(at_mono_ms);
+            return;
+        }
+        let refutations = [
+            Refutation::Served(crash.suspect),
+            Refutation::Alive(crash.instance_hash),
+        ];
+        let is_refuted = refutations.iter().any(|refutation| {
+            let known = self.refutations.get(refutation);
+            known.is_some_and(|known| at_mono_ms <= known.mono_ms + TIME_ERROR_MS)
+        });
+        if is_refuted || is_expired(&crash, at_mono_ms, now) {
+            return;
+        }
+        let served_mono_ms = self.served_mono_ms.get(&crash.suspect).copied();
+        if let Some(served_mono_ms) = served_mono_ms.filter(|served| *served >= at_mono_ms) {
+            // The node that reports the crash does not know.
+            let observed = self.observe(served_mono_ms, true);
+            let refutation = Refutation::Served(crash.suspect);
+            self.refutations.insert(refutation, observed);
+            return;
+        }
+        let observed = self.observe(at_mono_ms, false);
+        self.crashes.insert(crash, observed);
+    }
+
+    /// Records that what this node observed refutes crashes; returns whether there are any.
+    fn refute(&mut self, refutation: Refutation, at_mono_ms: u64) -> bool {
+        let is_refuting = self.remove_refuted(refutation, at_mono_ms);
+        if is_refuting {
+            let observed = self.observe(at_mono_ms, true);
+            self.refutations.insert(refutation, observed);
+        }
+        is_refuting
+    }
+
+    /// Applies a refutation by another node, unless a later one is known.
+    fn merge_refutation(&mut self, refutation: Refutation, at_mono_ms: u64) {
+        let known = self.refutations.get(&refutation);
+        if known.is_some_and(|known| at_mono_ms <= known.mono_ms + TIME_ERROR_MS) {
+            return;
+        }
+        self.remove_refuted(refutation, at_mono_ms + TIME_ERROR_MS);
+        let observed = self.observe(at_mono_ms, false);
+        self.refutations.insert(refutation, observed);
+    }
+
+    fn remove_refuted(&mut self, refutation: Refutation, until_mono_ms: u64) -> bool {
+        let before = self.crashes.len();
+        self.crashes.retain(|crash, observed| {
+            !refutation.refutes(crash) || observed.mono_ms > until_mono_ms
+        });
+        self.crashes.len() < before
+    }
+
+    fn observe(&mut self, mono_ms: u64, is_own: bool) -> Observed {
+        self.sequence += 1;
+        Observed {
+            mono_ms,
+            sequence: self.sequence,
+            is_own,
+        }
+    }
+
+    fn has_own_crash(&self, suspect: Suspect) -> bool {
+        self.crashes
+            .iter()
+            .any(|(crash, observed)| crash.suspect == suspect && observed.is_own)
+    }
+
+    /// Drops facts that no longer count, and judges the others.
+    pub fn judge(&mut self, now: Now) {
+        self.crashes
+            .retain(|crash, observed| !is_expired(crash, observed.mono_ms, now));
+        drop_oldest(&mut self.crashes, MAX_CRASH_RECORDS);
+        self.refutations
+            .retain(|_, observed| now.mono_ms < observed.mono_ms + PART_RETENTION_MS);
+        drop_oldest(&mut self.refutations, MAX_REFUTATIONS);
+        let crashes = self.crashes.iter();
+        let crashes: Vec<(Crash, u64)> = crashes
+            .map(|(crash, observed)| (*crash, observed.mono_ms))
+            .collect();
+        self.verdicts = verdict::verdicts(&crashes);
+    }
+}
+
+fn is_expired(crash: &Crash, at_mono_ms: u64, now: Now) -> bool {
+    let retention_ms = if crash.suspect.is_part() {
+        PART_RETENTION_MS
+    } else {
+        REQUEST_RETENTION_MS
+    };
+    now.mono_ms >= at_mono_ms + retention_ms
+}
+
+fn aged_since<T: Copy>(facts: &BTreeMap<T, Observed>, sequence: u64, now: Now) -> Vec<Aged<T>> {
+    let newer = facts
+        .iter()
+        .filter(|(_, observed)| observed.sequence > sequence);
+    let aged = newer.map(|(fact, observed)| Aged {
+        fact: *fact,
+        age_ms: now.mono_ms.saturating_sub(observed.mono_ms),
+    });
+    aged.collect()
+}
+
+fn drop_oldest<T: Copy + Ord>(facts: &mut BTreeMap<T, Observed>, max_count: usize) {
+    if facts.len() <= max_count {
+        return;
     }
+    let mut times: Vec<u64> = facts.values().map(|observed| observed.mono_ms).collect();
+    times.sort_unstable();
+    let cutoff_mono_ms = times[times.len() - max_count];
+    facts.retain(|_, observed| observed.mono_ms >= cutoff_mono_ms);
 }
--- /dev/null
+++ b/crates/hemlockhitch_routing/src/crash_tracker/verdict.rs
@@ -0,0 +1,218 @@
+//! Attribution of crashes to requests and prompt parts.
+//!
+//! It is made for endpoints that crash under one part of many requests: all requests at
+//! such an endpoint break with it, and those that are sent again meet the next one.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::suspect::{Crash, RequestTraits, Suspect};
+
+/// Crashes that one request may cause before it is blocked.
+pub const MAX_CRASHES: usize = 2;
+
+/// Crashes under a prompt part at which it is blocked.
+const PART_CRASHES: usize = 4;
+
+/// Distinct requests that must have met them, because a single request is blocked by
+/// itself.
+const MIN_REQUESTS: usize = 2;
+
+/// Crashes at which a part is blocked although parts of other requests met as many.
+const PART_CRASHES_IF_TIED: usize = 6;
+
+/// Crashes under a part that no other part of the same requests explains, above which the
+/// part is blocked by itself.
+const MAX_UNEXPLAINED: usize = 1;
+
+/// Maximum number of parts that together explain the crashes under another one.
+const MAX_ALTERNATIVES: usize = 4;
+
+/// Shortest time in which a crashed endpoint starts again, in milliseconds. Later
+/// disconnections of the same instance are another crash.
+pub(super) const MIN_RESTART_MS: u64 = 1_000;
+
+/// A request or prompt part that is sent to no endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// What crashes endpoints.
+    pub suspect: Suspect,
+    /// If not empty, the suspect is blocked only together with one of these parts, which
+    /// may be the cause as well.
+    pub alternatives: Vec<Suspect>,
+    /// Number of crashes.
+    pub crashes: usize,
+}
+
+impl Verdict {
+    pub(super) fn blocks(&self, request: &RequestTraits<'_>) -> bool {
+        let is_together =
+            |alternatives: &[Suspect]| alternatives.iter().any(|part| request.has(*part));
+        request.has(self.suspect)
+            && (self.alternatives.is_empty() || is_together(&self.alternatives))
+    }
+}
+
+/// One crash of an endpoint: the instance, and the number of its earlier crashes.
+type CrashEvent = (u64, usize);
+
+/// The crashes that a suspect met.
+#[derive(Clone, Debug, Default)]
+struct Record {
+    events: BTreeSet<CrashEvent>,
+    events_by_request: BTreeMap<u64, BTreeSet<CrashEvent>>,
+}
+
+impl Record {
+    /// Returns whether each request of this record is also one of `other`.
+    fn is_within(&self, other: &Self) -> bool {
+        let requests = &other.events_by_request;
+        self.events_by_request
+            .keys()
+            .all(|request| requests.contains_key(request))
+    }
+
+    fn shares_request(&self, other: &Self) -> bool {
+        let requests = &other.events_by_request;
+        self.events_by_request
+            .keys()
+            .any(|request| requests.contains_key(request))
+    }
+
+    /// Returns the events of the requests that both records have.
+    fn events_shared_with(&self, other: &Self) -> BTreeSet<CrashEvent> {
+        let shared = self.events_by_request.iter();
+        let shared = shared.filter(|(request, _)| other.events_by_request.contains_key(*request));
+        shared.flat_map(|(_, events)| events).copied().collect()
+    }
+}
+
+/// Returns what is blocked, from all crashes with the time of each in milliseconds.
+pub(super) fn verdicts(crashes: &[(Crash, u64)]) -> Vec<Verdict> {
+    let records = records(crashes);
+    let parts: BTreeMap<Suspect, &Record> = records
+        .iter()
+        .filter(|(suspect, record)| suspect.is_part() && record.events.len() >= MIN_REQUESTS)
+        .map(|(suspect, record)| (*suspect, record))
+        .collect();
+    let verdicts = records
+        .iter()
+        .filter_map(|(suspect, record)| match suspect {
+            Suspect::Request(fingerprint) => request_verdict(*fingerprint, record, &parts),
+            Suspect::PromptPart(_) => part_verdict(*suspect, record, &parts),
+        });
+    verdicts.collect()
+}
+
+fn records(crashes: &[(Crash, u64)]) -> BTreeMap<Suspect, Record> {
+    let mut times_by_instance: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
+    for (crash, mono_ms) in crashes {
+        let times = times_by_instance.entry(crash.instance_hash).or_default();
+        times.push(*mono_ms);
+    }
+    for times in times_by_instance.values_mut() {
+        times.sort_unstable();
+    }
+    let mut records: BTreeMap<Suspect, Record> = BTreeMap::new();
+    for (crash, mono_ms) in crashes {
+        let times = &times_by_instance[&crash.instance_hash];
+        let gaps = times.windows(2).take_while(|pair| pair[1] <= *mono_ms);
+        let restarts = gaps
+            .filter(|pair| pair[1] - pair[0] >= MIN_RESTART_MS)
+            .count();
+        let event = (crash.instance_hash, restarts);
+        let record = records.entry(crash.suspect).or_default();
+        record.events.insert(event);
+        let of_request = record.events_by_request.entry(crash.fingerprint);
+        of_request.or_default().insert(event);
+    }
+    records
+}
+
+fn request_verdict(
+    fingerprint: u64,
+    record: &Record,
+    parts: &BTreeMap<Suspect, &Record>,
+) -> Option<Verdict> {
+    // Such a request waited at endpoints that crashed under a part of others.
+    let explaining = parts.values().filter(|part| {
+        part.events.len() > record.events.len()
+            && !part.events_by_request.contains_key(&fingerprint)
+    });
+    let unexplained = without_explained(&record.events, explaining);
+    (unexplained.len() > MAX_CRASHES).then(|| Verdict {
+        suspect: Suspect::Request(fingerprint),
+        alternatives: Vec::new(),
+        crashes: unexplained.len(),
+    })
+}
+
+fn part_verdict(
+    suspect: Suspect,
+    record: &Record,
+    parts: &BTreeMap<Suspect, &Record>,
+) -> Option<Verdict> {
+    let crashes = record.events.len();
+    let requests = record.events_by_request.len();
+    if crashes < PART_CRASHES || requests < MIN_REQUESTS {
+        return None;
+    }
+    let explaining = parts.iter().filter(|(other, part)| {
+        let is_tied = part.events.len() == crashes
+            && crashes < PART_CRASHES_IF_TIED
+            && !record.shares_request(part);
+        **other != suspect && !record.is_within(part) && (part.events.len() > crashes || is_tied)
+    });
+    let unexplained = without_explained(&record.events, explaining.map(|(_, part)| part));
+    let unexplained_requests = record.events_by_request.values();
+    let unexplained_requests =
+        unexplained_requests.filter(|events| !events.is_disjoint(&unexplained));
+    if unexplained.len() < PART_CRASHES || unexplained_requests.count() < MIN_REQUESTS {
+        return None;
+    }
+    Some(Verdict {
+        suspect,
+        alternatives: alternatives(suspect, record, parts),
+        crashes: unexplained.len(),
+    })
+}
+
+fn without_explained<'a>(
+    events: &BTreeSet<CrashEvent>,
+    explaining: impl Iterator<Item = &'a &'a Record>,
+) -> BTreeSet<CrashEvent> {
+    explaining.fold(events.clone(), |mut unexplained, part| {
+        unexplained.retain(|event| !part.events.contains(event));
+        unexplained
+    })
+}
+
+/// Returns the parts of the same requests that explain the crashes as well as the suspect
+/// does. Requests that have the suspect without them show which one it is.
+fn alternatives(
+    suspect: Suspect,
+    record: &Record,
+    parts: &BTreeMap<Suspect, &Record>,
+) -> Vec<Suspect> {
+    let mut unexplained = record.events.clone();
+    let mut alternatives = Vec::new();
+    while alternatives.len() < MAX_ALTERNATIVES && unexplained.len() > MAX_UNEXPLAINED {
+        let candidates = parts.iter().filter(|(other, part)| {
+            **other != suspect && part.events_by_request.len() >= MIN_REQUESTS
+        });
+        let explained = candidates.map(|(other, part)| {
+            let shared = record.events_shared_with(part);
+            let explained: BTreeSet<_> = shared.intersection(&unexplained).copied().collect();
+            (*other, explained)
+        });
+        let best = explained.max_by_key(|(_, explained)| explained.len());
+        let Some((other, explained)) = best.filter(|(_, explained)| !explained.is_empty()) else {
+            break;
+        };
+        unexplained.retain(|event| !explained.contains(event));
+        alternatives.push(other);
+    }
+    if unexplained.len() > MAX_UNEXPLAINED {
+        alternatives.clear();
+    }
+    alternatives
+}
--- a/crates/hemlockhitch_routing/src/lib.rs
+++ b/crates/hemlockhitch_routing/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod catalogue;
 pub mod crash_tracker;
 pub mod fleet;
+pub mod gossip;
 pub mod limits;
 pub mod retry;
 pub mod roll_out;
