Log the request rate that an endpoint names

Cause of this change: no log line held the rate, so it could not be told whether nobody knew it or whether nodes that knew it exceeded it together.

Change: the adapter decodes the rate, and HH1238 logs each change. Nothing is decided by it yet.

--- a/crates/hemlockhitch_gateway/src/dialect/metadata.rs
+++ b/crates/hemlockhitch_gateway/src/dialect/metadata.rs
@@ -2,7 +2,7 @@
 
 use hemlockhitch_model::{EndpointName, OrganisationName};
 use hemlockhitch_routing::fleet::Load;
-use hemlockhitch_routing::limits::RequestedPause;
+use hemlockhitch_routing::limits::{RequestedPause, RequestedRate};
 use hemlockhitch_routing::selection::PromptPart;
 
 /// Metadata of a caller's request.
@@ -64,6 +64,8 @@
     pub leaving: bool,
     /// The pause that the endpoint asks this node for.
     pub pause: Option<RequestedPause>,
+    /// The request rate that the endpoint takes from all nodes together, if it limits it.
+    pub rate: Option<RequestedRate>,
     /// Name of the endpoint that responded, if the response states it.
     pub endpoint: Option<String>,
     /// The endpoint's keepalive time for idle connections, in milliseconds.
--- a/crates/hemlockhitch_gateway/src/state/endpoint.rs
+++ b/crates/hemlockhitch_gateway/src/state/endpoint.rs
@@ -44,6 +44,10 @@
             endpoint.record_load(load, now);
         }
         endpoint.record_cold(metadata.cold_remaining_ms, now);
+        if endpoint.record_requested_rate(metadata.rate) {
+            let requested = metadata.rate;
+            tracing::info!(event = "HH1238", %name, ?requested, "endpoint changed the request rate that it takes");
+        }
         let Some(requested) = metadata.pause else {
             return;
         };
--- a/crates/hemlockhitch_routing/src/fleet/endpoint.rs
+++ b/crates/hemlockhitch_routing/src/fleet/endpoint.rs
@@ -5,7 +5,7 @@
 use hemlockhitch_model::Now;
 
 use super::{CircuitBreaker, EndpointEntry};
-use crate::limits::RateLimiter;
+use crate::limits::{RateLimiter, RequestedRate};
 use hemlockhitch_model::hash_bytes;
 
 /// Half-life of the weight of a load report, in milliseconds: about the duration of a
@@ -59,6 +59,7 @@
     cold_until_mono_ms: u64,
     paused_until_mono_ms: u64,
     is_leaving: bool,
+    requested_rate: Option<RequestedRate>,
     load: Option<(Load, Now)>,
     peer_requests: Option<(Outstanding, Now)>,
     /// Time of the latest prefill, by model hash and part identifier.
@@ -72,6 +73,7 @@
             name_hash: hash_bytes(entry.name.as_str()),
             paused_until_mono_ms: 0,
             is_leaving: false,
+            requested_rate: None,
             entry,
             circuit_breaker: CircuitBreaker::default(),
             in_flight: 0,
@@ -100,6 +102,14 @@
         self.is_leaving
     }
 
+    /// Records the request rate that a response of the endpoint asks for; returns whether
+    /// it changed.
+    pub fn record_requested_rate(&mut self, rate: Option<RequestedRate>) -> bool {
+        let has_changed = self.requested_rate != rate;
+        self.requested_rate = rate;
+        has_changed
+    }
+
     /// Records that the endpoint has asked this node to send nothing for a time. The
     /// latest end counts.
     pub fn record_pause(&mut self, pause_ms: u64, now: Now) {
--- a/crates/hemlockhitch_routing/src/limits/mod.rs
+++ b/crates/hemlockhitch_routing/src/limits/mod.rs
@@ -4,10 +4,12 @@
 mod cold_rate;
 mod pause;
 mod rate_limiter;
+mod requested_rate;
 mod retry_budget;
 
 pub use byte_budget::ByteBudget;
 pub use cold_rate::ColdRate;
 pub use pause::{PauseSettings, RequestedPause};
 pub use rate_limiter::RateLimiter;
+pub use requested_rate::RequestedRate;
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
