Bound the size of a response that is read in full

What callers would see: a node that an endpoint in trouble sends bytes without end uses memory until it is killed, with all its requests.

Cause: the body of a response was collected without a limit until a timeout. The heads of responses and the events of streams had one.

--- a/crates/hemlockhitch_gateway/src/attempt/send.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/send.rs
@@ -7,7 +7,7 @@
 use hemlockhitch_model::Clock;
 use hemlockhitch_routing::retry::Seen;
 use http::{Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -19,6 +19,10 @@
 use crate::connection::{Connection, SendError};
 use crate::dialect::{Dialect, ResponseMetadata, UpstreamMetadata};
 
+/// Maximum size of a response that is read in full before it is relayed, in bytes; an
+/// endpoint that sends more is treated as faulty.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+
 /// A response whose body was read in full.
 #[derive(Debug)]
 pub(super) struct BufferedResponse {
@@ -125,13 +129,16 @@
             return await_first_event(stream, history, response_timeout, confidence_percent).await;
         }
         let (head, body) = response.into_parts();
-        let Ok(Ok(body)) = timeout(response_timeout, body.collect()).await else {
-            let seen = if metadata.not_run {
-                Seen::NotRun
-            } else {
-                Seen::Broken
-            };
-            return (Err(seen.into()), Some(slot));
+        let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let body = match timeout(response_timeout, reading).await {
+            Ok(Ok(body)) => body,
+            _ if metadata.not_run => return (Err(Seen::NotRun.into()), Some(slot)),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                let name = &slot.name;
+                tracing::info!(event = "HH1239", request = ctx.metadata.request_id, %name, "response is too large");
+                return (Err(Seen::Spoilt.into()), Some(slot));
+            }
+            Ok(Err(_)) | Err(_) => return (Err(Seen::Broken.into()), Some(slot)),
         };
         let buffered = BufferedResponse {
             head: Response::from_parts(head, ()),
