Log what a roll-out's stages rest on

Cause of this change: the log did not say how many responses were judged nor what each node made of them.

Change: HH1265 with the evidence of each node at each stage.

--- a/crates/hemlockhitch_gateway/src/controller/record.rs
+++ b/crates/hemlockhitch_gateway/src/controller/record.rs
@@ -92,7 +92,13 @@
         if let Some((record, _)) = self.stages.get(service)
             && record.target == roll_out.order().target.as_str()
         {
+            let before = roll_out.stage();
             roll_out.advance(record.stage);
+            let stage = roll_out.stage();
+            if stage != before {
+                let evidence = roll_out.evidence().summary();
+                tracing::info!(event = "HH1265", %service, ?stage, ?evidence, "roll-out stage applied");
+            }
         }
     }
 }
--- a/crates/hemlockhitch_routing/src/roll_out/evidence.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/evidence.rs
@@ -120,6 +120,25 @@
     }
 }
 
+/// What a verdict on a new version rests on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EvidenceSummary {
+    /// Responses of the new version that this node compared with the baseline.
+    pub responses: u32,
+    /// Those of them that were slow.
+    pub slow: u32,
+    /// Those of them that took longer than the baseline's median.
+    pub above_median: u32,
+    /// Ratio of the baseline's responses that are slow, within its bounds.
+    pub baseline_slow_ratio: f64,
+    /// This node's log-likelihood ratio from failures.
+    pub failure_llr: f64,
+    /// This node's log-likelihood ratio from slow responses.
+    pub slow_llr: f64,
+    /// Sum of the log-likelihood ratios of all nodes.
+    pub joint_llr: f64,
+}
+
 /// What one node has observed of a new version and the baseline.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
@@ -128,6 +147,9 @@
     baseline_slow: f64,
     latency_baselines: HashMap<u64, LatencyBaseline>,
     good_responses: u32,
+    target_responses: u32,
+    target_slow: u32,
+    target_above_median: u32,
     /// Whether the new version gets all requests.
     has_all_traffic: bool,
     /// Log-likelihood ratio from failures.
@@ -181,6 +203,12 @@
             return;
         }
         let is_slow = self.is_slow(observation, now);
+        self.target_responses += 1;
+        self.target_slow += u32::from(is_slow);
+        if let Some(baseline) = self.latency_baselines.get(&observation.work_kind_hash) {
+            let is_above = observation.ms_per_unit() > baseline.median_ms_per_unit();
+            self.target_above_median += u32::from(is_above);
+        }
         let baseline = self.baseline_slow_ratio();
         self.slow_llr += outcome_llr(is_slow, baseline, baseline + SLOW_RATIO_INCREASE);
         self.slow_llr = self.slow_llr.max(MIN_NODE_LLR);
@@ -224,6 +252,20 @@
         self.failure_llr.max(self.slow_llr)
     }
 
+    /// Returns what the verdict on the new version rests on.
+    #[must_use]
+    pub fn summary(&self) -> EvidenceSummary {
+        EvidenceSummary {
+            responses: self.target_responses,
+            slow: self.target_slow,
+            above_median: self.target_above_median,
+            baseline_slow_ratio: self.baseline_slow_ratio(),
+            failure_llr: self.failure_llr,
+            slow_llr: self.slow_llr,
+            joint_llr: self.joint_llr(),
+        }
+    }
+
     /// Records the log-likelihood ratio of another node, replacing its earlier one.
     pub fn merge_peer(&mut self, node: impl Into<String>, llr: f64) {
         self.peer_llrs.insert(node.into(), llr);
--- a/crates/hemlockhitch_routing/src/roll_out/mod.rs
+++ b/crates/hemlockhitch_routing/src/roll_out/mod.rs
@@ -8,7 +8,7 @@
 mod share;
 mod stage;
 
-pub use evidence::{Evidence, Observation};
+pub use evidence::{Evidence, EvidenceSummary, Observation};
 pub use stage::Stage;
 
 use std::collections::HashSet;
--- a/crates/hemlockhitch_routing/tests/roll_out.rs
+++ b/crates/hemlockhitch_routing/tests/roll_out.rs
@@ -367,3 +367,26 @@
         never_slow_below_ms: 125,
     }
 }
+
+/// The inputs of a verdict that a node logs with each stage.
+#[test]
+fn summary_counts_what_the_new_version_was_compared_by() {
+    let mut rng = Rng::with_seed(1);
+    let mut evidence = baseline_evidence(0.0, &mut rng);
+    for took_ms in [100, 131, 200, 300, 600] {
+        let observation = Observation {
+            work_kind_hash: 1,
+            work_units: 7_000,
+            is_target: true,
+            failed: false,
+            took_ms,
+            never_slow_below_ms: 125,
+        };
+        evidence.record(observation, at(10));
+    }
+    let summary = evidence.summary();
+    assert_eq!(
+        (summary.responses, summary.slow, summary.above_median),
+        (5, 2, 4)
+    );
+}
