Keep the times of crashes that return from the store

What callers would see: a block of a part that crashes the same endpoints again and again, as in an outage of the store, would end when the store is back, and some more endpoints with it.

Cause: a record that came back from the store was taken to be three minutes old, and the older of two times was kept. Crashes of one instance a second or more apart then looked like one.

Found by reading the change.

Change: another time is taken over only within the error of exchanged times, and records hold the age of each crash. Two names are clearer.

--- a/crates/hemlockhitch_gateway/src/controller/crash_records.rs
+++ b/crates/hemlockhitch_gateway/src/controller/crash_records.rs
@@ -16,8 +16,8 @@
 /// How long such a record is kept, in milliseconds.
 const RETENTION_MS: u64 = 300_000;
 
-/// Age that a record's crashes are taken to have when it is read, in milliseconds: what
-/// nodes observed since refutes them, and they count for some minutes more.
+/// Added to the age of a part's crashes when a record is read, in milliseconds: what nodes
+/// observed since refutes them, and they count for some minutes more.
 const RECORDED_AGE_MS: u64 = 180_000;
 
 /// The crashes for which a request or a prompt part is blocked.
@@ -26,7 +26,7 @@
 #[serde(rename_all = "snake_case")]
 struct CrashRecord {
     suspect: Suspect,
-    crashes: Vec<Crash>,
+    crashes: Vec<Aged<Crash>>,
 }
 
 /// Writes the crashes for which this node has begun to block something.
@@ -63,8 +63,10 @@
     if node_context.mirror().get(&key).is_some() {
         return Ok(());
     }
-    let crashes = evidence.crashes.iter().map(|crash| crash.fact).collect();
-    let record = CrashRecord { suspect, crashes };
+    let record = CrashRecord {
+        suspect,
+        crashes: evidence.crashes.clone(),
+    };
     let lease = store.lease_grant(RETENTION_MS).await?;
     let swap = Swap {
         key,
@@ -91,13 +93,16 @@
             return;
         }
     };
-    let crashes = record.crashes.into_iter().map(|fact| Aged {
-        fact,
-        age_ms: if fact.suspect.is_part() {
+    let crashes = record.crashes.into_iter().map(|crash| {
+        let added_ms = if crash.fact.suspect.is_part() {
             RECORDED_AGE_MS
         } else {
             0
-        },
+        };
+        Aged {
+            age_ms: crash.age_ms + added_ms,
+            ..crash
+        }
     });
     node_context.merge_evidence(&Evidence {
         crashes: crashes.collect(),
--- a/crates/hemlockhitch_gateway/src/gossip/mod.rs
+++ b/crates/hemlockhitch_gateway/src/gossip/mod.rs
@@ -155,7 +155,7 @@
 impl<D: Dialect, C: Clock> NodeContext<D, C> {
     /// Merges the facts of another node; returns this node's, if they differ and the other
     /// one asks for them.
-    pub(crate) fn exchange_facts(&self, received: &wire::Facts) -> wire::Facts {
+    pub(crate) fn answer_exchange(&self, received: &wire::Facts) -> wire::Facts {
         self.merge_facts(received);
         let missing = received
             .compare
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -133,7 +133,7 @@
         &self,
         request: Request<wire::Facts>,
     ) -> Result<Response<wire::Facts>, Status> {
-        let reply = self.node_context.exchange_facts(&request.into_inner());
+        let reply = self.node_context.answer_exchange(&request.into_inner());
         Ok(Response::new(reply))
     }
 }
--- a/crates/hemlockhitch_gateway/src/state/crash.rs
+++ b/crates/hemlockhitch_gateway/src/state/crash.rs
@@ -1,7 +1,7 @@
 //! What attempts show about requests that crash endpoints.
 
 use hemlockhitch_model::{Clock, Now};
-use hemlockhitch_routing::crash_tracker::{CrashTracker, Evidence, RequestTraits};
+use hemlockhitch_routing::crash_tracker::{CrashTracker, Evidence, NewVerdict, RequestTraits};
 use hemlockhitch_routing::gossip::SharedFacts;
 
 use super::{NodeContext, State};
@@ -62,7 +62,11 @@
         for suspect in changes.released {
             tracing::info!(event = "HH1237", ?suspect, "no longer blocked");
         }
-        for (verdict, has_own_crash) in changes.blocked {
+        for NewVerdict {
+            verdict,
+            has_own_crash,
+        } in changes.blocked
+        {
             let suspect = verdict.suspect;
             tracing::warn!(
                 event = "HH1236",
--- a/crates/hemlockhitch_routing/src/crash_tracker/mod.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/mod.rs
@@ -56,11 +56,20 @@
     sequence: u64,
 }
 
+/// A verdict that is reported for the first time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NewVerdict {
+    /// The verdict.
+    pub verdict: Verdict,
+    /// Whether this node observed one of the crashes itself.
+    pub has_own_crash: bool,
+}
+
 /// How the blocked suspects changed since the last report.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct VerdictChanges {
-    /// Newly blocked suspects, and whether this node observed one of the crashes.
-    pub blocked: Vec<(Verdict, bool)>,
+    /// Newly blocked suspects.
+    pub blocked: Vec<NewVerdict>,
     /// Suspects that are no longer blocked.
     pub released: Vec<Suspect>,
 }
@@ -135,7 +144,10 @@
             .collect();
         let newly = self.verdicts.iter();
         let newly = newly.filter(|verdict| !self.reported.contains(&verdict.suspect));
-        let blocked = newly.map(|verdict| (verdict.clone(), self.has_own_crash(verdict.suspect)));
+        let blocked = newly.map(|verdict| NewVerdict {
+            verdict: verdict.clone(),
+            has_own_crash: self.has_own_crash(verdict.suspect),
+        });
         let changes = VerdictChanges {
             blocked: blocked.collect(),
             released: self.reported.difference(&current).copied().collect(),
@@ -158,7 +170,10 @@
 
     fn merge_crash(&mut self, crash: Crash, at_mono_ms: u64, now: Now) {
         if let Some(known) = self.crashes.get_mut(&crash) {
-            known.mono_ms = known.mono_ms.min(at_mono_ms);
+            // The shorter way here gives the better time; a record in the store gives none.
+            if (at_mono_ms..=at_mono_ms + TIME_ERROR_MS).contains(&known.mono_ms) {
+                known.mono_ms = at_mono_ms;
+            }
             return;
         }
         let refutations = [
--- a/crates/hemlockhitch_routing/src/crash_tracker/suspect.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/suspect.rs
@@ -101,6 +101,8 @@
 
 /// A fact with its age, as nodes exchange it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Aged<T> {
     /// The fact.
     pub fact: T,
--- a/crates/hemlockhitch_routing/src/crash_tracker/verdict.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/verdict.rs
@@ -17,6 +17,9 @@
 /// itself.
 const MIN_REQUESTS: usize = 2;
 
+/// Crashes from which a part may explain those under another suspect.
+const MIN_EXPLAINING_CRASHES: usize = 2;
+
 /// Crashes at which a part is blocked although parts of other requests met as many.
 const PART_CRASHES_IF_TIED: usize = 6;
 
@@ -91,7 +94,9 @@
     let records = records(crashes);
     let parts: BTreeMap<Suspect, &Record> = records
         .iter()
-        .filter(|(suspect, record)| suspect.is_part() && record.events.len() >= MIN_REQUESTS)
+        .filter(|(suspect, record)| {
+            suspect.is_part() && record.events.len() >= MIN_EXPLAINING_CRASHES
+        })
         .map(|(suspect, record)| (*suspect, record))
         .collect();
     let verdicts = records
--- a/crates/hemlockhitch_routing/src/fleet/mod.rs
+++ b/crates/hemlockhitch_routing/src/fleet/mod.rs
@@ -13,10 +13,10 @@
 
 use departure::Departures;
 
-use crate::limits::{NamedRates, NodeShares};
-
 use hemlockhitch_model::{DataCentreName, EndpointKey, EndpointName, Key, Now, ServiceName};
 
+use crate::limits::{NamedRates, NodeShares};
+
 /// All known endpoints, by keys that are never reused.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
--- a/crates/hemlockhitch_routing/tests/crash_tracker.rs
+++ b/crates/hemlockhitch_routing/tests/crash_tracker.rs
@@ -203,6 +203,24 @@
     assert!(tracker.is_blocked(Request::new(40, &[666]).traits()));
 }
 
+/// Guards against a record in the store that makes crashes of one instance look like one.
+#[test]
+fn facts_that_return_with_another_age_do_not_end_a_block() {
+    let mut tracker = CrashTracker::default();
+    for index in 0..2 {
+        let deadly = Request::new(10 + index, &[666]);
+        crash(&mut tracker, &deadly, &[1], index * 3_000);
+        crash(&mut tracker, &deadly, &[2], index * 3_000 + 400);
+    }
+    let mut returned = tracker.facts_since(0, at(4_000));
+    for crash in &mut returned.crashes {
+        crash.age_ms = 200_000;
+    }
+    tracker.merge(&returned, at(4_100));
+    tracker.judge(at(4_000));
+    assert!(tracker.is_blocked(Request::new(40, &[666]).traits()));
+}
+
 #[test]
 fn block_ends_when_no_crash_is_recent() {
     let mut tracker = CrashTracker::default();
@@ -229,7 +247,7 @@
     crash(&mut tracker, &request, &[1, 2, 3], 0);
     let changes = tracker.take_changes();
     assert_eq!(changes.blocked.len(), 1);
-    assert!(changes.blocked[0].1, "this node observed it");
+    assert!(changes.blocked[0].has_own_crash);
     assert!(tracker.take_changes().blocked.is_empty());
     tracker.record_served(request.traits(), at(900));
     assert_eq!(tracker.take_changes().released, [Suspect::Request(7)]);
