Count a part only if its endpoint takes no connection any more

Cause: each lost or spoilt answer was taken for a crash and sent to all nodes with every part of its prompt; the work of judging them on small nodes came on top of a slow store and restarts.

Change: parts of a prompt are recorded only if the endpoint takes no connection right after the disconnection. A request's disconnections are shared from the second on, as they were in the store. Nothing is compared while no suspect met enough crashes. Times of facts are compared within a second.

--- a/crates/hemlockhitch_gateway/src/attempt/record.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/record.rs
@@ -2,6 +2,7 @@
 
 use hemlockhitch_model::Clock;
 use hemlockhitch_routing::cascade::{FirstEventSample, Step};
+use hemlockhitch_routing::crash_tracker::RequestTraits;
 use hemlockhitch_routing::fleet::Sign;
 use hemlockhitch_routing::retry::Seen;
 
@@ -9,6 +10,7 @@
 use super::context::{AttemptHistory, RequestContext};
 use super::send::{AcceptedResponse, AttemptFailure, OpenedResponse};
 use super::slot::EndpointSlot;
+use crate::connection;
 use crate::dialect::Dialect;
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
@@ -91,11 +93,31 @@
                 parts = ?ctx.metadata.parts.iter().map(|part| part.id).collect::<Vec<_>>(),
                 "attempt broken off before its first event"
             );
-            self.node_context
-                .record_crash(ctx.traits(), slot.instance_hash);
+            self.record_disconnection(ctx, slot);
         }
     }
 
+    /// Records that an endpoint disconnected before it had begun its response, and as a
+    /// crash if it takes no connection any more.
+    fn record_disconnection(&self, ctx: &RequestContext<D, C>, slot: &EndpointSlot<D, C>) {
+        let node_context = self.node_context.clone();
+        node_context.record_disconnection(ctx.traits(), slot.instance_hash);
+        let (fingerprint, parts) = (ctx.fingerprint, ctx.metadata.parts.clone());
+        if parts.len() < 2 {
+            return;
+        }
+        let (address, instance_hash) = (slot.address, slot.instance_hash);
+        tokio::spawn(async move {
+            if !connection::is_listening(address).await {
+                let traits = RequestTraits {
+                    fingerprint,
+                    parts: &parts,
+                };
+                node_context.record_crash(traits, instance_hash);
+            }
+        });
+    }
+
     pub(super) fn record_request(&self, ctx: &RequestContext<D, C>) {
         let now = self.node_context.now();
         let settings = self.node_context.settings().retry_budget;
--- a/crates/hemlockhitch_gateway/src/connection/mod.rs
+++ b/crates/hemlockhitch_gateway/src/connection/mod.rs
@@ -2,7 +2,7 @@
 
 mod open;
 
-pub(crate) use open::configure_socket;
+pub(crate) use open::{configure_socket, is_listening};
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/hemlockhitch_gateway/src/connection/open.rs
+++ b/crates/hemlockhitch_gateway/src/connection/open.rs
@@ -57,6 +57,12 @@
     })
 }
 
+/// Returns whether an endpoint takes connections; nothing is sent on it.
+pub(crate) async fn is_listening(address: SocketAddr) -> bool {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Ok(_)))
+}
+
 /// Sets socket options that make a connection fail soon if the other end vanishes
 /// without closing it.
 pub(crate) fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
--- a/crates/hemlockhitch_gateway/src/gossip/mod.rs
+++ b/crates/hemlockhitch_gateway/src/gossip/mod.rs
@@ -25,7 +25,7 @@
 const COMPARE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// The same while the last comparison failed, or until the first one has succeeded.
-const COMPARE_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+const COMPARE_RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Minimum interval between two rounds of new facts: those of an endpoint's crash arrive
 /// together.
--- a/crates/hemlockhitch_gateway/src/state/crash.rs
+++ b/crates/hemlockhitch_gateway/src/state/crash.rs
@@ -12,7 +12,13 @@
 
 impl<D: Dialect, C: Clock> NodeContext<D, C> {
     /// Records that an endpoint disconnected before it had begun its response to a
-    /// request.
+    /// request, whether or not it crashed.
+    pub(crate) fn record_disconnection(&self, request: RequestTraits<'_>, instance_hash: u64) {
+        let now = self.now();
+        self.update_crashes(|tracker| tracker.record_disconnection(request, instance_hash, now));
+    }
+
+    /// Records that an endpoint crashed before it had begun its response to a request.
     pub(crate) fn record_crash(&self, request: RequestTraits<'_>, instance_hash: u64) {
         let now = self.now();
         self.update_crashes(|tracker| tracker.record_crash(request, instance_hash, now));
--- a/crates/hemlockhitch_routing/src/crash_tracker/mod.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/mod.rs
@@ -36,6 +36,13 @@
 /// Number of remembered suspects that were served above which old ones are dropped.
 const SERVED_SWEEP_SIZE: usize = 4_096;
 
+/// Disconnections under a request from which other nodes learn of them: single ones are
+/// frequent, and mostly no crash.
+const SHARED_DISCONNECTIONS: usize = 2;
+
+/// Sequence number of facts that are not shared.
+const UNSHARED: u64 = 0;
+
 /// When a fact was observed, and in which order it became known to this node.
 #[derive(Clone, Copy, Debug)]
 struct Observed {
@@ -75,25 +82,52 @@
 }
 
 impl CrashTracker {
-    /// Records that an endpoint disconnected before it had begun its response to a
-    /// request.
+    /// Records that an endpoint crashed before it had begun its response to a request.
     pub fn record_crash(&mut self, request: RequestTraits<'_>, instance_hash: u64, now: Now) {
-        for suspect in request.suspects() {
+        self.record_disconnection(request, instance_hash, now);
+        for suspect in request.suspects().filter(|suspect| suspect.is_part()) {
             let served_mono_ms = self.served_mono_ms.get(&suspect);
             if served_mono_ms.is_some_and(|served| now.mono_ms <= *served + TIME_ERROR_MS) {
                 continue;
             }
-            let crash = Crash {
-                suspect,
-                instance_hash,
-                fingerprint: request.fingerprint,
-            };
             let observed = self.observe(now.mono_ms, true);
+            let crash = request.crash(suspect, instance_hash);
             self.crashes.entry(crash).or_insert(observed);
         }
         self.judge(now);
     }
 
+    /// Records that an endpoint disconnected before it had begun its response to a request,
+    /// whether or not it crashed. Other nodes learn of it from the second time on.
+    pub fn record_disconnection(
+        &mut self,
+        request: RequestTraits<'_>,
+        instance_hash: u64,
+        now: Now,
+    ) {
+        let suspect = Suspect::Request(request.fingerprint);
+        let unshared = Observed {
+            mono_ms: now.mono_ms,
+            sequence: UNSHARED,
+            is_own: true,
+        };
+        let crash = request.crash(suspect, instance_hash);
+        self.crashes.entry(crash).or_insert(unshared);
+        let of_request = self.crashes.keys().filter(|crash| crash.suspect == suspect);
+        let of_request: Vec<Crash> = of_request.copied().collect();
+        if of_request.len() >= SHARED_DISCONNECTIONS {
+            for crash in of_request {
+                self.sequence += 1;
+                if let Some(observed) = self.crashes.get_mut(&crash)
+                    && observed.sequence == UNSHARED
+                {
+                    observed.sequence = self.sequence;
+                }
+            }
+        }
+        self.judge(now);
+    }
+
     /// Records that an endpoint has responded to a request beyond the beginning.
     pub fn record_served(&mut self, request: RequestTraits<'_>, now: Now) {
         let mut is_refuting = false;
@@ -274,9 +308,9 @@
     }
 
     fn digest(&self) -> u64 {
-        self.crashes
-            .keys()
-            .fold(0, |digest, crash| digest ^ crash.hash())
+        let shared = self.crashes.iter();
+        let shared = shared.filter(|(_, observed)| observed.sequence != UNSHARED);
+        shared.fold(0, |digest, (crash, _)| digest ^ crash.hash())
     }
 
     fn merge(&mut self, evidence: &Evidence, now: Now) {
--- a/crates/hemlockhitch_routing/src/crash_tracker/suspect.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/suspect.rs
@@ -53,6 +53,14 @@
             .chain(parts)
     }
 
+    pub(super) fn crash(&self, suspect: Suspect, instance_hash: u64) -> Crash {
+        Crash {
+            suspect,
+            instance_hash,
+            fingerprint: self.fingerprint,
+        }
+    }
+
     pub(super) fn has(&self, suspect: Suspect) -> bool {
         self.suspects().any(|own| own == suspect)
     }
--- a/crates/hemlockhitch_routing/src/crash_tracker/verdict.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/verdict.rs
@@ -89,8 +89,13 @@
     }
 }
 
-/// Returns what is blocked, from all crashes with the time of each in milliseconds.
+/// Returns what is blocked, from all crashes in their order, with the time of each in
+/// milliseconds.
 pub(super) fn verdicts(crashes: &[(Crash, u64)]) -> Vec<Verdict> {
+    // Most disconnections are single, so that nothing has to be compared.
+    if !may_block(crashes) {
+        return Vec::new();
+    }
     let records = records(crashes);
     let parts: BTreeMap<Suspect, &Record> = records
         .iter()
@@ -108,6 +113,15 @@
     verdicts.collect()
 }
 
+/// Returns whether a suspect met enough crashes to be blocked, whatever explains them.
+fn may_block(crashes: &[(Crash, u64)]) -> bool {
+    let by_suspect = crashes.chunk_by(|(a, _), (b, _)| a.suspect == b.suspect);
+    by_suspect.into_iter().any(|crashes| {
+        let is_part = crashes[0].0.suspect.is_part();
+        crashes.len() > MAX_CRASHES && (!is_part || crashes.len() >= PART_CRASHES)
+    })
+}
+
 fn records(crashes: &[(Crash, u64)]) -> BTreeMap<Suspect, Record> {
     let mut times_by_instance: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
     for (crash, mono_ms) in crashes {
--- a/crates/hemlockhitch_routing/src/gossip.rs
+++ b/crates/hemlockhitch_routing/src/gossip.rs
@@ -17,7 +17,7 @@
 
 /// Error of the time of a fact that came from another node, in milliseconds: each node
 /// that passes it on adds the time on the way.
-pub(crate) const TIME_ERROR_MS: u64 = 300;
+pub(crate) const TIME_ERROR_MS: u64 = 1_000;
 
 /// How long a node that did not answer is passed over, in milliseconds.
 const UNREACHABLE_COOLDOWN_MS: u64 = 3_000;
--- a/crates/hemlockhitch_routing/src/limits/named_rate.rs
+++ b/crates/hemlockhitch_routing/src/limits/named_rate.rs
@@ -8,7 +8,7 @@
 use hemlockhitch_model::{Now, mix};
 
 use super::NodeShares;
-use crate::gossip::{SharedFacts, TIME_ERROR_MS};
+use crate::gossip::SharedFacts;
 
 /// Fraction of a named rate that is used. The rest is a margin for requests that arrive
 /// closer together than they were sent.
@@ -29,6 +29,9 @@
 /// Interval after which an unchanged rate is shared anew, in milliseconds.
 const REFRESH_MS: u64 = 3_000;
 
+/// Error of the time of a statement that came from another node, in milliseconds.
+const TIME_ERROR_MS: u64 = 300;
+
 /// How long a statement counts that no node has heard again, in milliseconds.
 const RETENTION_MS: u64 = 120_000;
 
