--- a/crates/hemlockhitch/src/gateway/derived.rs
+++ b/crates/hemlockhitch/src/gateway/derived.rs
@@ -37,6 +37,7 @@
         window_ms: millis(bounds.repeat_window_s),
     };
     GatewaySettings::new(file.node.name.clone(), file.node.data_centre.clone())
+        .source_address(file.source_address)
         .peer_capacity(peer_capacity(bounds.link_mbps, bounds.cores))
         .max_configuration_age_ms(bounds.revoke_ms.saturating_sub(REVOCATION_MARGIN_MS))
         .watch_ms(WATCH_MS)
--- a/crates/hemlockhitch_config/src/settings/gateway.rs
+++ b/crates/hemlockhitch_config/src/settings/gateway.rs
@@ -1,6 +1,6 @@
 //! Settings of a node that runs as a gateway of a platform.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 
 use serde::{Deserialize, Serialize};
@@ -21,6 +21,9 @@
     pub listen: GatewayListenSettings,
     /// Whether the whole fleet starts for the first time: `node.first_start`.
     pub first_start: bool,
+    /// Address from which the node connects to endpoints: `node.source_address`; `None`
+    /// if the operating system chooses it.
+    pub source_address: Option<IpAddr>,
     /// Address of the platform's key-value service: `platform.key_value`.
     pub key_value: SocketAddr,
     /// Limits set by the platform: `[gateway]`.
@@ -102,6 +105,7 @@
 fn read_gateway(reader: &mut Reader) -> Option<GatewayFile> {
     let node = sections::read_node(reader);
     let first_start = reader.flag("node", "first_start");
+    let source_address = reader.optional_ip("node", "source_address");
     let callers = reader.address("listen", "callers");
     let readiness = reader.address("listen", "readiness");
     let peers = reader.address("listen", "peers");
@@ -127,6 +131,7 @@
     Some(GatewayFile {
         node: node?,
         first_start,
+        source_address,
         listen: GatewayListenSettings {
             callers: callers?,
             readiness: readiness?,
--- a/crates/hemlockhitch_config/src/settings/reader.rs
+++ b/crates/hemlockhitch_config/src/settings/reader.rs
@@ -1,7 +1,7 @@
 //! Typed reading of INI entries that collects every fault.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use super::fault::{Fault, FaultKind};
 use super::integer::IntegerSetting;
@@ -98,6 +98,22 @@
         self.parse_address(&entry)
     }
 
+    /// Reads an optional IP address.
+    pub(super) fn optional_ip(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+    ) -> Option<IpAddr> {
+        let entry = self.take(section, key)?;
+        let address = entry.value.parse().ok();
+        if address.is_none() {
+            let message = format!("{:?} is not an IP address", entry.value);
+            let remedy = "give an address of this VM, without a port";
+            self.add_entry_fault(FaultKind::BadValue, &entry, message, remedy);
+        }
+        address
+    }
+
     /// Reports port 0 in an address that must be reachable.
     pub(super) fn check_port(&mut self, entry: &SourceEntry, address: SocketAddr) {
         if address.port() == 0 {
--- a/crates/hemlockhitch_gateway/src/attempt/record.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/record.rs
@@ -10,7 +10,6 @@
 use super::context::{AttemptHistory, RequestContext};
 use super::send::{AcceptedResponse, AttemptFailure, OpenedResponse};
 use super::slot::EndpointSlot;
-use crate::connection;
 use crate::dialect::Dialect;
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
@@ -108,7 +107,8 @@
         }
         let (address, instance_hash) = (slot.address, slot.instance_hash);
         tokio::spawn(async move {
-            if !connection::is_listening(address).await {
+            let pool = node_context.connection_pool();
+            if !pool.is_listening(address).await {
                 let traits = RequestTraits {
                     fingerprint,
                     parts: &parts,
--- a/crates/hemlockhitch_gateway/src/connection/mod.rs
+++ b/crates/hemlockhitch_gateway/src/connection/mod.rs
@@ -2,10 +2,10 @@
 
 mod open;
 
-pub(crate) use open::{configure_socket, is_listening};
+pub(crate) use open::configure_socket;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -63,12 +63,22 @@
 }
 
 /// The idle connections of a node, by endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ConnectionPool {
+    /// Address from which connections are opened; `None` if the system chooses it.
+    source_address: Option<IpAddr>,
     idle: Mutex<HashMap<EndpointKey, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool that opens connections from `source_address`.
+    pub(crate) fn new(source_address: Option<IpAddr>) -> Self {
+        Self {
+            source_address,
+            idle: Mutex::default(),
+        }
+    }
+
     /// Sends a request over a pooled or a new connection, and returns once the response
     /// head has arrived.
     pub(crate) async fn send(
@@ -87,7 +97,7 @@
                 },
             }
         }
-        let mut connection = open::open(endpoint, address).await?;
+        let mut connection = open::open(endpoint, address, self.source_address).await?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => Err(match error.take_message() {
@@ -97,6 +107,11 @@
         }
     }
 
+    /// Returns whether an endpoint takes connections; nothing is sent on it.
+    pub(crate) async fn is_listening(&self, address: SocketAddr) -> bool {
+        open::is_listening(address, self.source_address).await
+    }
+
     /// Returns a connection to the pool after its response was read in full.
     pub(crate) fn release(&self, connection: Connection, keepalive_ms: Option<u64>) {
         let idle_ms = keepalive_ms.map_or(DEFAULT_IDLE_TIMEOUT_MS, |keepalive_ms| {
--- a/crates/hemlockhitch_gateway/src/connection/open.rs
+++ b/crates/hemlockhitch_gateway/src/connection/open.rs
@@ -1,13 +1,14 @@
 //! Opens connections to endpoints.
 
-use std::net::SocketAddr;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use hemlockhitch_model::EndpointKey;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 use crate::telemetry;
@@ -30,8 +31,9 @@
 pub(super) async fn open(
     endpoint: EndpointKey,
     address: SocketAddr,
+    source_address: Option<IpAddr>,
 ) -> Result<Connection, SendError> {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let connected = timeout(CONNECT_TIMEOUT, connect(address, source_address)).await;
     let stream = match connected {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(connect_failed(address, &error)),
@@ -58,14 +60,26 @@
 }
 
 /// Returns whether an endpoint takes connections; nothing is sent on it.
-pub(crate) async fn is_listening(address: SocketAddr) -> bool {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+pub(super) async fn is_listening(address: SocketAddr, source_address: Option<IpAddr>) -> bool {
+    let connected = timeout(CONNECT_TIMEOUT, connect(address, source_address)).await;
     matches!(connected, Ok(Ok(_)))
 }
 
+async fn connect(address: SocketAddr, source_address: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source_address) = source_address else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match source_address {
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source_address, 0))?;
+    socket.connect(address).await
+}
+
 /// Sets socket options that make a connection fail soon if the other end vanishes
 /// without closing it.
-pub(crate) fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
+pub(crate) fn configure_socket(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
--- a/crates/hemlockhitch_gateway/src/settings.rs
+++ b/crates/hemlockhitch_gateway/src/settings.rs
@@ -1,5 +1,7 @@
 //! Gateway settings.
 
+use std::net::IpAddr;
+
 use hemlockhitch_model::{DataCentreName, NodeName, hash_bytes};
 use hemlockhitch_routing::limits::{PauseSettings, RetryBudgetSettings};
 use hemlockhitch_routing::source::FollowableNode;
@@ -11,6 +13,9 @@
     pub node: NodeName,
     /// The data centre of the node.
     pub data_centre: DataCentreName,
+    /// Address from which the node connects to endpoints; `None` if the operating system
+    /// chooses it.
+    pub source_address: Option<IpAddr>,
     /// Capacity for work on behalf of other nodes, compared with theirs: the smaller of
     /// its link in megabits per second and its processor in thousandths of a core.
     pub peer_capacity: u32,
@@ -58,6 +63,7 @@
                 shared_retries: 20.0,
                 window_ms: 10_000,
             },
+            source_address: None,
             peer_capacity: 1_000,
             max_configuration_age_ms: 4_850,
             watch_ms: 400,
@@ -92,6 +98,13 @@
         }
     }
 
+    /// Sets the address from which the node connects to endpoints.
+    #[must_use]
+    pub fn source_address(mut self, source_address: Option<IpAddr>) -> Self {
+        self.source_address = source_address;
+        self
+    }
+
     /// Sets the capacity for work on behalf of other nodes, compared with theirs: the
     /// smaller of its link in megabits per second and its processor in thousandths of a
     /// core.
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -210,7 +210,7 @@
                 loads: Mutex::default(),
                 positions: watch::Sender::new(StorePosition::default()),
                 facts_learned: Notify::new(),
-                connection_pool: ConnectionPool::default(),
+                connection_pool: ConnectionPool::new(settings.source_address),
                 dialect,
                 clock,
                 settings,
