Pass requests to another node while this one reaches no endpoint

Cause: a node knew endpoints only by its own connections. When all of them failed, it took every endpoint for down, and stayed ready. Class of fault: one's own failure taken for that of all others.

Change: failed and unanswered requests raise a suspicion, connections to four endpoints at once confirm it (routing::reach). Until one succeeds again, requests go to another node over the peers' port, once, with the time, the attempts and the last event that are left, and with the configuration's version, below which no node takes them. A node that reaches no endpoint either, is stopping or has no recent configuration says that it sent nothing, and the next one is asked. With none, callers are refused at once.

The same cause elsewhere: a cut-off node took endpoints for crashed under a prompt part, and told the others. It now records such a crash only if it reaches another endpoint.

--- a/crates/hemlockhitch/src/gateway/mod.rs
+++ b/crates/hemlockhitch/src/gateway/mod.rs
@@ -51,16 +51,17 @@
         let readiness = Readiness::new(node_context.clone());
         let gateway = Gateway::new(node_context.clone());
         let listen = file.listen;
-        let listener = Listener::start(listen.callers, gateway)
+        let listener = Listener::start(listen.callers, gateway.clone())
             .await
             .map_err(|error| NodeError::listen(listen.callers, &error))?;
         let readiness_address =
             hemlockhitch_gateway::serve_readiness(listen.readiness, readiness.clone())
                 .await
                 .map_err(|error| NodeError::listen(listen.readiness, &error))?;
-        let feed_address = hemlockhitch_gateway::serve_feed(listen.peers, node_context.clone())
-            .await
-            .map_err(|error| NodeError::listen(listen.peers, &error))?;
+        let feed_address =
+            hemlockhitch_gateway::serve_peers(listen.peers, gateway, readiness.clone())
+                .await
+                .map_err(|error| NodeError::listen(listen.peers, &error))?;
         let metrics = ApiServer::start(listen.metrics, metrics_page::routes())
             .await
             .map_err(|error| NodeError::new(NodeErrorKind::Listen, error.to_string()))?;
--- a/crates/hemlockhitch_gateway/src/attempt/admit.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/admit.rs
@@ -14,6 +14,7 @@
 
 use super::Gateway;
 use super::context::{InFlightGuard, ReceivedRequest, RequestContext};
+use super::pass::PassedRequest;
 use super::response::Refusal;
 use crate::dialect::{Dialect, RequestMetadata};
 use crate::telemetry;
@@ -41,11 +42,19 @@
 }
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
-    pub(super) async fn admit(&self, request: Request<Incoming>) -> Admission<D, C> {
+    pub(super) async fn admit(
+        &self,
+        request: Request<Incoming>,
+        passed: Option<PassedRequest>,
+    ) -> Admission<D, C> {
         let received_at = self.node_context.now();
         let started = Instant::now();
         let (head, body) = request.into_parts();
-        let metadata = self.node_context.dialect().parse_request(&head.headers);
+        let mut metadata = self.node_context.dialect().parse_request(&head.headers);
+        if let Some(passed) = passed {
+            metadata.timeout_ms = Some(passed.remaining_ms);
+            metadata.last_event_id = passed.last_event_id;
+        }
         let catalogue = self.catalogue().await;
         let limits = catalogue
             .as_ref()
@@ -70,6 +79,7 @@
                 body,
                 received_at,
                 timeout_ms,
+                passed,
             };
             self.accept(received, route, organisation)
         });
--- a/crates/hemlockhitch_gateway/src/attempt/context.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/context.rs
@@ -11,6 +11,7 @@
 use http::request::Parts;
 use tokio::time::Instant;
 
+use super::pass::PassedRequest;
 use crate::dialect::{Dialect, RequestMetadata};
 use crate::state::NodeContext;
 
@@ -35,6 +36,8 @@
     pub(super) received_at: Now,
     pub(super) timeout_ms: u64,
     pub(super) deadline: Instant,
+    /// What is left of a request that another node passed.
+    pub(super) passed: Option<PassedRequest>,
     _in_flight_guard: InFlightGuard<D, C>,
 }
 
@@ -47,6 +50,7 @@
     pub(super) received_at: Now,
     pub(super) timeout_ms: u64,
     pub(super) deadline: Instant,
+    pub(super) passed: Option<PassedRequest>,
 }
 
 impl<D: Dialect, C: Clock> RequestContext<D, C> {
@@ -76,6 +80,7 @@
             received_at: received.received_at,
             timeout_ms: received.timeout_ms,
             deadline: received.deadline,
+            passed: received.passed,
             _in_flight_guard: in_flight_guard,
         }
     }
@@ -126,6 +131,8 @@
 /// The attempts made for a request so far.
 #[derive(Debug, Default)]
 pub(super) struct AttemptHistory {
+    /// Whether the request was counted towards the retry budget of its service.
+    pub(super) is_counted: bool,
     /// Endpoints that the attempts went to, including unreachable ones.
     pub(super) tried: Vec<EndpointKey>,
     /// Number of attempts that were sent; unreachable endpoints do not count.
@@ -152,6 +159,18 @@
         self.sent < max_attempts && self.unreachable < MAX_UNREACHABLE_ENDPOINTS
     }
 
+    /// Records that an attempt is made.
+    pub(super) fn start_attempt(&mut self) {
+        self.sent += 1;
+        self.in_progress = true;
+    }
+
+    /// Records that an attempt was not sent, and that another node may make it.
+    pub(super) fn withdraw_attempt(&mut self) {
+        self.sent = self.sent.saturating_sub(1);
+        self.in_progress = false;
+    }
+
     /// Records how an attempt ended.
     pub(super) fn end_attempt(&mut self, seen: Seen) {
         self.in_progress = false;
--- a/crates/hemlockhitch_gateway/src/attempt/mod.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/mod.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod context;
 mod headers;
+mod pass;
 mod record;
 mod relay;
 mod response;
@@ -64,7 +65,12 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, Infallible> {
-        let response = match self.admit(request).await {
+        let admission = self.admit(request, None).await;
+        Ok(self.handle_admitted(admission).await)
+    }
+
+    async fn handle_admitted(&self, admission: Admission<D, C>) -> Response<ResponseBody> {
+        match admission {
             Admission::Admitted(ctx) => {
                 let organisation = ctx
                     .organisation
@@ -81,7 +87,6 @@
                 response
             }
             Admission::Refused(refusal) => refusal.into_response(),
-        };
-        Ok(response)
+        }
     }
 }
--- a/crates/hemlockhitch_gateway/src/attempt/record.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/record.rs
@@ -23,8 +23,10 @@
     ) {
         match (&accepted.response, slot) {
             (OpenedResponse::Stream(stream), _) => {
-                stream.slot.record_outcome(Sign::Good, ctx);
-                self.record_first_event(ctx, history, stream.slot.held_ms());
+                if let Some(slot) = &stream.slot {
+                    slot.record_outcome(Sign::Good, ctx);
+                    self.record_first_event(ctx, history, slot.held_ms());
+                }
                 self.record_gain(ctx, history, accepted.confidence_percent);
             }
             (OpenedResponse::Buffered(_), Some(slot)) => slot.record_outcome(Sign::Good, ctx),
@@ -100,15 +102,20 @@
     /// crash if it takes no connection any more.
     fn record_disconnection(&self, ctx: &RequestContext<D, C>, slot: &EndpointSlot<D, C>) {
         let node_context = self.node_context.clone();
+        if node_context.is_cut_off(&ctx.service) {
+            return;
+        }
         node_context.record_disconnection(ctx.traits(), slot.instance_hash);
         let (fingerprint, parts) = (ctx.fingerprint, ctx.metadata.parts.clone());
         if parts.len() < 2 {
             return;
         }
         let (address, instance_hash) = (slot.address, slot.instance_hash);
+        let service = ctx.service.clone();
         tokio::spawn(async move {
             let pool = node_context.connection_pool();
-            if !pool.is_listening(address).await {
+            // An endpoint that this node alone does not reach has not crashed.
+            if !pool.is_listening(address).await && node_context.reaches_any(&service).await {
                 let traits = RequestTraits {
                     fingerprint,
                     parts: &parts,
@@ -118,6 +125,13 @@
         });
     }
 
+    /// Records that an endpoint responded, so that this node reaches it.
+    pub(super) fn record_reached(&self, ctx: &RequestContext<D, C>) {
+        let now = self.node_context.now();
+        let mut state = self.node_context.state();
+        state.reach.record_response(&ctx.service, now);
+    }
+
     pub(super) fn record_request(&self, ctx: &RequestContext<D, C>) {
         let now = self.node_context.now();
         let settings = self.node_context.settings().retry_budget;
--- a/crates/hemlockhitch_gateway/src/attempt/relay.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/relay.rs
@@ -99,7 +99,9 @@
         let inter_event_histogram = telemetry::inter_event_histogram();
         let mut last_mono_ms = None;
         loop {
-            let can_fail_over = self.ctx.route.kind.may_run_again()
+            // Another node that holds the slot resumes the stream itself.
+            let can_fail_over = stream.slot.is_some()
+                && self.ctx.route.kind.may_run_again()
                 && self.history.has_attempts_left(self.ctx.route.max_attempts);
             let next = stream.next(self.history.last_event_id);
             let next = if can_fail_over {
@@ -133,7 +135,9 @@
                     if events < SERVED_EVENTS {
                         self.gateway.node_context.record_served(self.ctx.traits());
                     }
-                    stream.slot.record_inter_event_latency(events, &self.ctx);
+                    if let Some(slot) = &stream.slot {
+                        slot.record_inter_event_latency(events, &self.ctx);
+                    }
                     let (slot, connection, keepalive_ms) = stream.finish();
                     self.gateway
                         .node_context
@@ -156,8 +160,10 @@
 
     /// Resumes the stream on another endpoint, after the last event.
     async fn resume(&mut self, stream: OpenStream<D, C>, seen: Seen) -> Option<OpenStream<D, C>> {
-        stream.slot.record_outcome(Sign::Bad, &self.ctx);
-        let endpoint = stream.slot.endpoint;
+        let endpoint = stream.slot.as_ref().map(|slot| {
+            slot.record_outcome(Sign::Bad, &self.ctx);
+            slot.endpoint
+        });
         drop(stream);
         self.history.end_attempt(seen);
         let may_retry = self.history.has_attempts_left(self.ctx.route.max_attempts);
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -11,6 +11,7 @@
 use super::Gateway;
 use super::context::{AttemptHistory, RequestContext};
 use super::headers::strip_hop_by_hop_headers;
+use super::pass;
 use super::relay;
 use super::response::{Refusal, ResponseBody};
 use super::send::{
@@ -49,6 +50,7 @@
     pub(super) async fn run(&self, ctx: RequestContext<D, C>) -> Response<ResponseBody> {
         let mut history = AttemptHistory {
             last_event_id: ctx.metadata.last_event_id,
+            sent: ctx.passed.map_or(0, |passed| passed.attempts),
             ..AttemptHistory::default()
         };
         if ctx.metadata.last_event_id.is_some() {
@@ -56,7 +58,6 @@
             // used.
             history.model_size = ctx.route.sizes.len().saturating_sub(1);
         }
-        self.record_request(&ctx);
         match timeout_at(ctx.deadline, self.run_attempts(&ctx, &mut history)).await {
             Ok(Ok(OpenedResponse::Buffered(buffered))) => buffered_response(buffered),
             Ok(Ok(OpenedResponse::Stream(stream))) => {
@@ -91,6 +92,26 @@
             if self.is_blocked(ctx) {
                 return Err(blocked(history));
             }
+            if self.node_context.is_cut_off(&ctx.service) {
+                if ctx.passed.is_some() {
+                    return Err(self.no_endpoint_available(ctx, history));
+                }
+                match self.pass(ctx, history).await {
+                    Ok(response) => return Ok(response),
+                    Err(failure) if failure.seen == Seen::NotSent => {
+                        return Err(self.no_endpoint_available(ctx, history));
+                    }
+                    Err(failure) => {
+                        history.end_attempt(failure.seen);
+                        self.continue_after_failure(ctx, history, failure)?;
+                        continue;
+                    }
+                }
+            }
+            if !history.is_counted {
+                history.is_counted = true;
+                self.record_request(ctx);
+            }
             let Some(slot) = EndpointSlot::acquire(&self.node_context, ctx, history) else {
                 return Err(self.no_endpoint_available(ctx, history));
             };
@@ -99,8 +120,7 @@
             }
             telemetry::record_attempt(ctx.route.kind, ctx.remaining_ms(self.node_context.now()));
             history.tried.push(slot.endpoint);
-            history.sent += 1;
-            history.in_progress = true;
+            history.start_attempt();
             let response_timeout = response_timeout(ctx, history);
             let (result, slot) = self.send(ctx, history, slot, response_timeout).await;
             match result {
@@ -291,7 +311,15 @@
             "request failed"
         );
         telemetry::count_failed_request(refusal.message());
-        refusal.into_response()
+        let response = refusal.into_response();
+        let is_not_taken = ctx.passed.is_some()
+            && failure.outcome == Final::NotRun
+            && self.node_context.is_cut_off(&ctx.service);
+        if is_not_taken {
+            pass::mark_not_taken(response)
+        } else {
+            response
+        }
     }
 
     /// Returns after which time an endpoint probably accepts the request, in
--- a/crates/hemlockhitch_gateway/src/attempt/send.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/send.rs
@@ -5,23 +5,24 @@
 
 use bytes::Bytes;
 use hemlockhitch_model::Clock;
+use hemlockhitch_routing::reach::{SILENCE_MS, Suspicion};
 use hemlockhitch_routing::retry::Seen;
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::Gateway;
 use super::context::{AttemptHistory, RequestContext};
 use super::headers::strip_hop_by_hop_headers;
 use super::slot::EndpointSlot;
 use super::stream::{OpenStream, StreamItem};
-use crate::connection::{Connection, SendError};
+use crate::connection::{Connection, Remote, SendError};
 use crate::dialect::{Dialect, ResponseMetadata, UpstreamMetadata};
 
 /// Maximum size of a response that is read in full before it is relayed, in bytes; an
 /// endpoint that sends more is treated as faulty.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+pub(super) const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// A response whose body was read in full.
 #[derive(Debug)]
@@ -79,18 +80,47 @@
             return (Err(Seen::NotSent.into()), Some(slot));
         };
         let pool = self.node_context.connection_pool();
-        let sending = pool.send(slot.endpoint, slot.address, request);
+        let sending = pool.send(Remote::Endpoint(slot.endpoint), slot.address, request);
+        let sending = self.suspect_on_silence(ctx, sending);
         match timeout(response_timeout, sending).await {
             Err(_) => (Err(Seen::Silent.into()), Some(slot)),
-            Ok(Err(SendError::NotSent)) => (Err(Seen::NotSent.into()), Some(slot)),
-            Ok(Err(SendError::Broken)) => (Err(Seen::Broken.into()), Some(slot)),
+            Ok(Err(SendError::NotSent)) => {
+                self.node_context
+                    .suspect(&ctx.service, Suspicion::NotConnected);
+                (Err(Seen::NotSent.into()), Some(slot))
+            }
+            Ok(Err(SendError::Broken)) => {
+                self.node_context
+                    .suspect(&ctx.service, Suspicion::Unanswered);
+                (Err(Seen::Broken.into()), Some(slot))
+            }
             Ok(Ok((response, connection))) => {
+                self.record_reached(ctx);
                 self.read_response(ctx, history, slot, response, connection, response_timeout)
                     .await
             }
         }
     }
 
+    /// Waits for a response; while there is none for long, checks whether this node still
+    /// reaches the endpoints.
+    async fn suspect_on_silence<T>(
+        &self,
+        ctx: &RequestContext<D, C>,
+        sending: impl Future<Output = T>,
+    ) -> T {
+        tokio::pin!(sending);
+        loop {
+            tokio::select! {
+                biased;
+                sent = &mut sending => return sent,
+                () = sleep(Duration::from_millis(SILENCE_MS)) => {
+                    self.node_context.suspect(&ctx.service, Suspicion::Unanswered);
+                }
+            }
+        }
+    }
+
     async fn read_response(
         &self,
         ctx: &RequestContext<D, C>,
@@ -125,7 +155,7 @@
         let is_accepted = status.is_success() && metadata.signed && !metadata.encoded;
         let confidence_percent = metadata.confidence_percent;
         if is_accepted && ctx.route.kind.is_stream() {
-            let stream = OpenStream::new(slot, response, connection, metadata.keepalive_ms);
+            let stream = OpenStream::new(Some(slot), response, connection, metadata.keepalive_ms);
             return await_first_event(stream, history, response_timeout, confidence_percent).await;
         }
         let (head, body) = response.into_parts();
@@ -247,7 +277,7 @@
         Err(_) => Some(Seen::Silent),
     };
     if let Some(seen) = seen {
-        return (Err(seen.into()), Some(stream.into_slot()));
+        return (Err(seen.into()), stream.into_slot());
     }
     stream.finish_prefill();
     let accepted = AcceptedResponse {
--- a/crates/hemlockhitch_gateway/src/attempt/stream.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/stream.rs
@@ -25,10 +25,12 @@
     Broken,
 }
 
-/// An event stream received from an endpoint; dropping it cancels the work there.
+/// An event stream received from an endpoint or through another node; dropping it cancels
+/// the work there.
 #[derive(Debug)]
 pub(super) struct OpenStream<D: Dialect, C: Clock> {
-    pub(super) slot: EndpointSlot<D, C>,
+    /// The slot at the endpoint; `None` if another node holds it.
+    pub(super) slot: Option<EndpointSlot<D, C>>,
     pub(super) head: Response<()>,
     body: Incoming,
     connection: Connection,
@@ -39,7 +41,7 @@
 
 impl<D: Dialect, C: Clock> OpenStream<D, C> {
     pub(super) fn new(
-        slot: EndpointSlot<D, C>,
+        slot: Option<EndpointSlot<D, C>>,
         response: Response<Incoming>,
         connection: Connection,
         keepalive_ms: Option<u64>,
@@ -93,16 +95,18 @@
     }
 
     pub(super) fn finish_prefill(&mut self) {
-        self.slot.finish_prefill();
+        if let Some(slot) = &mut self.slot {
+            slot.finish_prefill();
+        }
     }
 
-    pub(super) fn into_slot(self) -> EndpointSlot<D, C> {
+    pub(super) fn into_slot(self) -> Option<EndpointSlot<D, C>> {
         self.slot
     }
 
     /// Returns the slot, the connection and its keepalive time in milliseconds after
     /// the end of the stream.
-    pub(super) fn finish(self) -> (EndpointSlot<D, C>, Connection, Option<u64>) {
+    pub(super) fn finish(self) -> (Option<EndpointSlot<D, C>>, Connection, Option<u64>) {
         (self.slot, self.connection, self.keepalive_ms)
     }
 }
--- a/crates/hemlockhitch_gateway/src/connection/mod.rs
+++ b/crates/hemlockhitch_gateway/src/connection/mod.rs
@@ -1,4 +1,4 @@
-//! Connection pool for endpoints.
+//! Connection pool for endpoints and other nodes.
 
 mod open;
 
@@ -26,8 +26,8 @@
 /// its close may already be on the way.
 const IDLE_TIMEOUT_MARGIN_MS: u64 = 700;
 
-/// Maximum number of idle connections per endpoint.
-const MAX_IDLE_PER_ENDPOINT: usize = 32;
+/// Maximum number of idle connections to an endpoint or a node.
+const MAX_IDLE_PER_REMOTE: usize = 32;
 
 /// Why a request got no response head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,10 +38,19 @@
     Broken,
 }
 
+/// The other end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Remote {
+    /// An endpoint.
+    Endpoint(EndpointKey),
+    /// A node, by the address at which it serves other nodes.
+    Node(SocketAddr),
+}
+
 /// A connection that carries one request at a time and is closed when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    endpoint: EndpointKey,
+    remote: Remote,
     sender: SendRequest<Full<Bytes>>,
     _task: TaskGuard,
 }
@@ -62,16 +71,17 @@
     expires_at: Instant,
 }
 
-/// The idle connections of a node, by endpoint.
+/// The idle connections of a node, by their other end.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
-    /// Address from which connections are opened; `None` if the system chooses it.
+    /// Address from which connections to endpoints are opened; `None` if the system
+    /// chooses it.
     source_address: Option<IpAddr>,
-    idle: Mutex<HashMap<EndpointKey, Vec<IdleConnection>>>,
+    idle: Mutex<HashMap<Remote, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool that opens connections from `source_address`.
+    /// Creates an empty pool that connects to endpoints from `source_address`.
     pub(crate) fn new(source_address: Option<IpAddr>) -> Self {
         Self {
             source_address,
@@ -83,12 +93,12 @@
     /// head has arrived.
     pub(crate) async fn send(
         &self,
-        endpoint: EndpointKey,
+        remote: Remote,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let mut request = request;
-        while let Some(mut connection) = self.take_idle(endpoint) {
+        while let Some(mut connection) = self.take_idle(remote) {
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -97,7 +107,11 @@
                 },
             }
         }
-        let mut connection = open::open(endpoint, address, self.source_address).await?;
+        let source_address = match remote {
+            Remote::Endpoint(_) => self.source_address,
+            Remote::Node(_) => None,
+        };
+        let mut connection = open::open(remote, address, source_address).await?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => Err(match error.take_message() {
@@ -122,8 +136,8 @@
         }
         let expires_at = Instant::now() + Duration::from_millis(idle_ms);
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let pooled = idle.entry(connection.endpoint).or_default();
-        if pooled.len() < MAX_IDLE_PER_ENDPOINT {
+        let pooled = idle.entry(connection.remote).or_default();
+        if pooled.len() < MAX_IDLE_PER_REMOTE {
             pooled.push(IdleConnection {
                 connection,
                 expires_at,
@@ -134,14 +148,14 @@
     /// Closes the idle connections to an endpoint that was removed.
     pub(crate) fn close_endpoint(&self, endpoint: EndpointKey) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.remove(&endpoint);
+        idle.remove(&Remote::Endpoint(endpoint));
     }
 
     /// Takes the most recently used idle connection.
-    fn take_idle(&self, endpoint: EndpointKey) -> Option<Connection> {
+    fn take_idle(&self, remote: Remote) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let pooled = idle.get_mut(&endpoint)?;
+        let pooled = idle.get_mut(&remote)?;
         pooled.retain(|idle| now < idle.expires_at && !idle.connection.sender.is_closed());
         let ready = pooled
             .iter()
--- a/crates/hemlockhitch_gateway/src/connection/open.rs
+++ b/crates/hemlockhitch_gateway/src/connection/open.rs
@@ -1,10 +1,9 @@
-//! Opens connections to endpoints.
+//! Opens connections to endpoints and other nodes.
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use hemlockhitch_model::EndpointKey;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -13,7 +12,7 @@
 
 use crate::telemetry;
 
-use super::{Connection, SendError, TaskGuard};
+use super::{Connection, Remote, SendError, TaskGuard};
 
 /// Connect timeout: many times the latency between data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -29,7 +28,7 @@
 const KEEPALIVE_PROBES: u32 = 2;
 
 pub(super) async fn open(
-    endpoint: EndpointKey,
+    remote: Remote,
     address: SocketAddr,
     source_address: Option<IpAddr>,
 ) -> Result<Connection, SendError> {
@@ -53,7 +52,7 @@
     });
     telemetry::count_connection_opened();
     Ok(Connection {
-        endpoint,
+        remote,
         sender,
         _task: TaskGuard(task.abort_handle()),
     })
--- a/crates/hemlockhitch_gateway/src/controller/reports.rs
+++ b/crates/hemlockhitch_gateway/src/controller/reports.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use tokio::time::timeout;
 
+use crate::connection::Remote;
 use crate::dialect::Dialect;
 use crate::state::NodeContext;
 
@@ -77,7 +78,7 @@
     let query = async {
         let (response, connection) = node_context
             .connection_pool()
-            .send(endpoint, address, request)
+            .send(Remote::Endpoint(endpoint), address, request)
             .await
             .ok()?;
         let metadata = node_context
--- a/crates/hemlockhitch_gateway/src/lib.rs
+++ b/crates/hemlockhitch_gateway/src/lib.rs
@@ -36,7 +36,7 @@
 pub use gossip::exchange_facts;
 pub use listener::{Listener, Readiness, serve_readiness};
 pub use membership::register_node;
-pub use peer::{Applied, Mirror, serve_feed};
+pub use peer::{Applied, Mirror, serve_peers};
 pub use settings::GatewaySettings;
 pub use state::{NodeContext, State};
 pub use telemetry::report_gauges;
--- a/crates/hemlockhitch_gateway/src/peer/mod.rs
+++ b/crates/hemlockhitch_gateway/src/peer/mod.rs
@@ -10,4 +10,4 @@
 pub(crate) use loads::{EndpointLoads, LoadTable};
 pub use mirror::{Applied, Mirror};
 pub(crate) use server::loads_to_wire;
-pub use server::serve_feed;
+pub use server::serve_peers;
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -1,5 +1,6 @@
-//! Serves the feed to other nodes.
+//! Serves the feed and passed requests to other nodes.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
@@ -9,16 +10,23 @@
 use hemlockhitch_ports::key_value::WatchBatch;
 use hemlockhitch_routing::fleet::Outstanding;
 use hemlockhitch_routing::limits::ByteBudget;
+use http::Version;
+use http_body_util::Either;
+use hyper::body::Incoming;
+use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
+use tonic::body::Body;
 use tonic::{Request, Response, Status};
 
 use super::EndpointLoads;
+use crate::attempt::{Gateway, ResponseBody};
 use crate::connection;
 use crate::dialect::Dialect;
+use crate::listener::Readiness;
 use crate::state::NodeContext;
 use crate::wire;
 use crate::wire::feed_server::{Feed, FeedServer};
@@ -43,28 +51,34 @@
     complete_replies: Mutex<ByteBudget>,
 }
 
-/// Serves the feed on `address`, in the background.
+/// Serves the feed and requests that other nodes pass on `address`, in the background.
 ///
 /// # Errors
 ///
 /// Returns an error if the address cannot be bound.
-pub async fn serve_feed<D: Dialect, C: Clock>(
+pub async fn serve_peers<D: Dialect, C: Clock>(
     address: SocketAddr,
-    node_context: NodeContext<D, C>,
+    gateway: Gateway<D, C>,
+    readiness: Readiness<D, C>,
 ) -> io::Result<SocketAddr> {
+    let node_context = gateway.node_context().clone();
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let capacity = u64::from(node_context.settings().peer_capacity);
     let bytes_per_s = capacity * BYTES_PER_CAPACITY / COMPLETE_REPLIES_DIVISOR;
-    let service = FeedServer::new(FeedService {
-        node_context,
-        complete_replies: Mutex::new(ByteBudget::new(bytes_per_s)),
-    });
+    let peer_service = PeerService {
+        feed: FeedServer::new(FeedService {
+            node_context,
+            complete_replies: Mutex::new(ByteBudget::new(bytes_per_s)),
+        }),
+        gateway,
+        readiness,
+    };
     tokio::spawn(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    tokio::spawn(serve_connection(stream, service.clone()));
+                    tokio::spawn(serve_connection(stream, peer_service.clone()));
                 }
                 Err(error) => {
                     tracing::warn!(event = "HH1260", %error, "failed to accept a peer's connection");
@@ -78,21 +92,54 @@
 
 async fn serve_connection<D: Dialect, C: Clock>(
     stream: TcpStream,
-    service: FeedServer<FeedService<D, C>>,
+    peer_service: PeerService<D, C>,
 ) {
     if let Err(error) = connection::configure_socket(&stream) {
         tracing::debug!(event = "HH1262", %error, "failed to configure a peer's connection");
         return;
     }
+    let service = service_fn(move |request| peer_service.clone().handle(request));
     let served = auto::Builder::new(TokioExecutor::new())
-        .http2_only()
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service))
+        .serve_connection(TokioIo::new(stream), service)
         .await;
     if let Err(error) = served {
         tracing::debug!(event = "HH1263", %error, "peer's connection failed");
     }
 }
 
+/// What a node serves to others: the feed over HTTP/2, passed requests over HTTP/1.1.
+#[derive(Debug)]
+struct PeerService<D, C> {
+    feed: FeedServer<FeedService<D, C>>,
+    gateway: Gateway<D, C>,
+    readiness: Readiness<D, C>,
+}
+
+impl<D, C> Clone for PeerService<D, C> {
+    fn clone(&self) -> Self {
+        Self {
+            feed: self.feed.clone(),
+            gateway: self.gateway.clone(),
+            readiness: self.readiness.clone(),
+        }
+    }
+}
+
+impl<D: Dialect, C: Clock> PeerService<D, C> {
+    async fn handle(
+        self,
+        request: http::Request<Incoming>,
+    ) -> Result<http::Response<Either<Body, ResponseBody>>, Infallible> {
+        if request.version() == Version::HTTP_2 {
+            let response = TowerToHyperService::new(self.feed).call(request).await?;
+            return Ok(response.map(Either::Left));
+        }
+        let is_ready = self.readiness.is_ready();
+        let response = self.gateway.handle_passed(request, is_ready).await;
+        Ok(response.map(Either::Right))
+    }
+}
+
 #[tonic::async_trait]
 impl<D: Dialect, C: Clock> Feed for FeedService<D, C> {
     async fn follow(
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod crash;
 mod endpoint;
 mod exchange;
+mod reach;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -14,6 +15,7 @@
 use hemlockhitch_routing::crash_tracker::{CrashTracker, Evidence, Suspect};
 use hemlockhitch_routing::fleet::Fleet;
 use hemlockhitch_routing::limits::{ColdRate, NodeShares, RetryBudget};
+use hemlockhitch_routing::reach::{HelperSelector, Reach};
 use hemlockhitch_routing::roll_out::{self, RollOut, Stage};
 use hemlockhitch_routing::source::FollowableNode;
 use hemlockhitch_routing::{Freshness, SessionAffinity, WorkRanks, hash_bytes};
@@ -50,6 +52,10 @@
     pub session_affinity: SessionAffinity,
     /// Requests and prompt parts that were at endpoints when these crashed.
     pub crash_tracker: CrashTracker,
+    /// Whether this node reaches the endpoints of each service.
+    pub reach: Reach,
+    /// The nodes to which this node passes requests while it reaches no endpoint.
+    pub helpers: HelperSelector,
     /// Original requests and retries, by service.
     pub retry_budgets: HashMap<ServiceName, RetryBudget>,
     /// How close first events come to their latency objective, by service.
@@ -92,6 +98,8 @@
             baselines: HashMap::new(),
             session_affinity: SessionAffinity::new(settings.session_ttl_ms),
             crash_tracker: CrashTracker::default(),
+            reach: Reach::default(),
+            helpers: HelperSelector::default(),
             retry_budgets: HashMap::new(),
             pressure: HashMap::new(),
             work_ranks: HashMap::new(),
--- a/crates/hemlockhitch_gateway/src/telemetry/mod.rs
+++ b/crates/hemlockhitch_gateway/src/telemetry/mod.rs
@@ -115,6 +115,11 @@
     metrics::counter!("gateway_larger_models").increment(1);
 }
 
+/// Counts a request that is passed to another node.
+pub(crate) fn count_pass() {
+    metrics::counter!("gateway_passes").increment(1);
+}
+
 /// Counts a stream that another endpoint resumed.
 pub(crate) fn count_resume() {
     metrics::counter!("gateway_resumes").increment(1);
--- a/crates/hemlockhitch_routing/src/lib.rs
+++ b/crates/hemlockhitch_routing/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod fleet;
 pub mod gossip;
 pub mod limits;
+pub mod reach;
 pub mod retry;
 pub mod roll_out;
 pub mod selection;
