Send brittle endpoints no more than they have slots for, all nodes together

What callers saw: with three endpoints of 8 slots that survive four refusals in a second, nine nodes and 110 requests a second on room for 60: 9 and 12 of 1,100 served, 18 falls in 10 s.

Cause: nobody read the statement, and an endpoint that started again got at once all that had waited for it, from every node. Class of fault: a limit on what all nodes do together that each node keeps, or does not know, by itself.

Change: a service is brittle while one of its endpoints says so; nodes exchange that directly, so it holds for an endpoint that starts and has stated nothing. Meanwhile each node has no more requests at an endpoint than its part of the slots; the parts of all nodes add up to the slots. What finds no slot is refused at once, as not run. The statements about rates and brittleness share one exchange (limits::Statements); the message is the same on the wire.

What remains: in a service with fewer slots than nodes, 13 to 17 of 100 nodes have no slot and refuse everything; callers' repeats reach others.

--- a/crates/hemlockhitch_gateway/src/dialect/metadata.rs
+++ b/crates/hemlockhitch_gateway/src/dialect/metadata.rs
@@ -66,6 +66,8 @@
     pub pause: Option<RequestedPause>,
     /// The request rate that the endpoint takes from all nodes together, if it limits it.
     pub rate: Option<RequestedRate>,
+    /// The number of refusals in a second that the endpoint survives, if it is limited.
+    pub brittle: Option<RequestedRate>,
     /// Name of the endpoint that responded, if the response states it.
     pub endpoint: Option<String>,
     /// The endpoint's keepalive time for idle connections, in milliseconds.
--- a/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
+++ b/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
@@ -86,8 +86,12 @@
     pub served: ::prost::alloc::vec::Vec<ServedFact>,
     #[prost(message, repeated, tag = "5")]
     pub alive: ::prost::alloc::vec::Vec<AliveFact>,
+    /// Request rates that instances take from all nodes together, in requests per second.
     #[prost(message, repeated, tag = "6")]
-    pub rates: ::prost::alloc::vec::Vec<RateFact>,
+    pub rates: ::prost::alloc::vec::Vec<StatementFact>,
+    /// Refusals per second that the endpoints of services survive.
+    #[prost(message, repeated, tag = "7")]
+    pub brittle: ::prost::alloc::vec::Vec<StatementFact>,
 }
 /// What may make endpoints crash.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -128,14 +132,15 @@
     #[prost(uint32, tag = "2")]
     pub age_ms: u32,
 }
-/// An instance stated which request rate it takes from all nodes together.
+/// An instance stated something about itself or its service.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
-pub struct RateFact {
+pub struct StatementFact {
+    /// Hash of the instance or of the service.
     #[prost(fixed64, tag = "1")]
-    pub instance_hash: u64,
-    /// Requests per second; absent for any number.
+    pub subject_hash: u64,
+    /// Absent if it is no longer stated.
     #[prost(double, optional, tag = "2")]
-    pub per_s: ::core::option::Option<f64>,
+    pub value: ::core::option::Option<f64>,
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
 }
--- a/crates/hemlockhitch_gateway/src/gossip/facts.rs
+++ b/crates/hemlockhitch_gateway/src/gossip/facts.rs
@@ -3,7 +3,7 @@
 use hemlockhitch_model::Now;
 use hemlockhitch_routing::crash_tracker::{Aged, Crash, Evidence, Refutation, Suspect};
 use hemlockhitch_routing::gossip::SharedFacts;
-use hemlockhitch_routing::limits::RateStatement;
+use hemlockhitch_routing::limits::Statement;
 
 use crate::state::State;
 use crate::wire;
@@ -13,6 +13,7 @@
 pub(super) struct Sequences {
     crashes: u64,
     rates: u64,
+    brittle: u64,
 }
 
 impl State {
@@ -21,22 +22,31 @@
         Sequences {
             crashes: self.crash_tracker.sequence(),
             rates: self.fleet.named_rates.sequence(),
+            brittle: self.fleet.brittleness.statements.sequence(),
         }
     }
 
     /// Returns a digest of all facts.
     pub(super) fn fact_digest(&self) -> u64 {
-        self.crash_tracker.digest() ^ self.fleet.named_rates.digest()
+        let stated = [&self.fleet.named_rates, &self.fleet.brittleness.statements];
+        stated
+            .iter()
+            .fold(self.crash_tracker.digest(), |digest, stated| {
+                digest ^ stated.digest()
+            })
     }
 
     /// Returns the facts that this node learned since.
     pub(super) fn facts_since(&self, since: Sequences, now: Now) -> wire::Facts {
         let evidence = self.crash_tracker.facts_since(since.crashes, now);
         let rates = self.fleet.named_rates.facts_since(since.rates, now);
+        let brittle = &self.fleet.brittleness.statements;
+        let brittle = brittle.facts_since(since.brittle, now);
         let mut facts = wire::Facts {
             digest: self.fact_digest(),
             crashes: evidence.crashes.iter().map(crash_to_wire).collect(),
-            rates: rates.iter().map(rate_to_wire).collect(),
+            rates: rates.iter().map(statement_to_wire).collect(),
+            brittle: brittle.iter().map(statement_to_wire).collect(),
             ..wire::Facts::default()
         };
         for refutation in &evidence.refutations {
@@ -62,6 +72,7 @@
         && facts.served.is_empty()
         && facts.alive.is_empty()
         && facts.rates.is_empty()
+        && facts.brittle.is_empty()
 }
 
 /// Decodes facts about crashes. Those of a kind that this version does not know are left
@@ -83,23 +94,23 @@
     }
 }
 
-/// Decodes the rates that endpoints named. A rate that is no number counts as none.
-pub(super) fn rates_from_wire(facts: &wire::Facts) -> Vec<RateStatement> {
-    let rates = facts.rates.iter().map(|rate| RateStatement {
-        instance_hash: rate.instance_hash,
-        per_s: rate
-            .per_s
-            .filter(|per_s| per_s.is_finite() && *per_s >= 0.0),
-        age_ms: rate.age_ms.into(),
+/// Decodes statements. A value that is no number counts as none.
+pub(super) fn statements_from_wire(facts: &[wire::StatementFact]) -> Vec<Statement> {
+    let statements = facts.iter().map(|fact| Statement {
+        subject_hash: fact.subject_hash,
+        value: fact
+            .value
+            .filter(|value| value.is_finite() && *value >= 0.0),
+        age_ms: fact.age_ms.into(),
     });
-    rates.collect()
+    statements.collect()
 }
 
-fn rate_to_wire(rate: &RateStatement) -> wire::RateFact {
-    wire::RateFact {
-        instance_hash: rate.instance_hash,
-        per_s: rate.per_s,
-        age_ms: age_to_wire(rate.age_ms),
+fn statement_to_wire(statement: &Statement) -> wire::StatementFact {
+    wire::StatementFact {
+        subject_hash: statement.subject_hash,
+        value: statement.value,
+        age_ms: age_to_wire(statement.age_ms),
     }
 }
 
--- a/crates/hemlockhitch_gateway/src/gossip/mod.rs
+++ b/crates/hemlockhitch_gateway/src/gossip/mod.rs
@@ -177,16 +177,17 @@
 
     fn merge_facts(&self, received: &wire::Facts) {
         self.merge_evidence(&facts::evidence_from_wire(received));
-        let statements = facts::rates_from_wire(received);
-        if statements.is_empty() {
+        let rates = facts::statements_from_wire(&received.rates);
+        let brittle = facts::statements_from_wire(&received.brittle);
+        if rates.is_empty() && brittle.is_empty() {
             return;
         }
         let now = self.now();
         let mut state = self.state();
-        let named_rates = &mut state.fleet.named_rates;
-        let before = named_rates.sequence();
-        named_rates.merge(&statements, now);
-        let has_learned = named_rates.sequence() > before;
+        let before = state.fact_sequences();
+        state.fleet.named_rates.merge(&rates, now);
+        state.fleet.brittleness.statements.merge(&brittle, now);
+        let has_learned = state.fact_sequences() != before;
         drop(state);
         if has_learned {
             self.notify_facts_learned();
--- a/crates/hemlockhitch_gateway/src/state/endpoint.rs
+++ b/crates/hemlockhitch_gateway/src/state/endpoint.rs
@@ -16,16 +16,16 @@
     pub(crate) fn record_endpoint_state(&self, endpoint: EndpointKey, metadata: &ResponseMetadata) {
         let now = self.now();
         let mut state = self.state();
-        let known_rates = state.fleet.named_rates.sequence();
-        let known = state.fleet.get(endpoint);
-        let is_same = known.is_some_and(|known| {
+        let known = state.stated_sequences();
+        let is_same = state.fleet.get(endpoint).is_some_and(|known| {
             let name = metadata.endpoint.as_deref();
             name.is_none_or(|name| name == known.entry.name.as_str())
         });
         if is_same {
             state.record_endpoint_state(endpoint, metadata, self.settings(), now);
             state.record_rate(endpoint, metadata.rate, now);
-            let has_learned = state.fleet.named_rates.sequence() > known_rates;
+            state.record_brittle(endpoint, metadata.brittle, now);
+            let has_learned = state.stated_sequences() != known;
             drop(state);
             if has_learned {
                 self.notify_facts_learned();
@@ -35,6 +35,27 @@
 }
 
 impl State {
+    /// Returns how much this node has learned from statements of endpoints.
+    fn stated_sequences(&self) -> (u64, u64) {
+        let brittle = self.fleet.brittleness.statements.sequence();
+        (self.fleet.named_rates.sequence(), brittle)
+    }
+
+    /// Records how many refusals a response states its endpoint survives.
+    fn record_brittle(&mut self, key: EndpointKey, stated: Option<RequestedRate>, now: Now) {
+        let refusals_per_s = stated.map(|stated| match stated {
+            RequestedRate::PerS(per_s) => per_s,
+            // Whatever the number is, the endpoint is brittle.
+            RequestedRate::Unreadable => 0.0,
+        });
+        if self.fleet.record_brittle(key, refusals_per_s, now)
+            && let Some(endpoint) = self.fleet.get(key)
+        {
+            let service = &endpoint.entry.service;
+            tracing::info!(event = "HH1247", %service, ?stated, "endpoints changed how many refusals they survive");
+        }
+    }
+
     /// Records the rate that a response states its endpoint takes from all nodes together.
     fn record_rate(&mut self, key: EndpointKey, requested: Option<RequestedRate>, now: Now) {
         let per_s = match requested {
--- a/crates/hemlockhitch_routing/src/fleet/mod.rs
+++ b/crates/hemlockhitch_routing/src/fleet/mod.rs
@@ -13,9 +13,11 @@
 
 use departure::Departures;
 
-use hemlockhitch_model::{DataCentreName, EndpointKey, EndpointName, Key, Now, ServiceName};
+use hemlockhitch_model::{
+    DataCentreName, EndpointKey, EndpointName, Key, Now, ServiceName, hash_bytes,
+};
 
-use crate::limits::{NamedRates, NodeShares};
+use crate::limits::{Brittleness, NamedRate, NodeShares, Statements};
 
 /// All known endpoints, by keys that are never reused.
 #[derive(Clone, Debug, Default)]
@@ -26,7 +28,9 @@
     evacuated: HashSet<DataCentreName>,
     departures: Departures,
     /// Request rates that endpoints take from all nodes together.
-    pub named_rates: NamedRates,
+    pub named_rates: Statements,
+    /// Services whose endpoints end if they refuse more than a few requests.
+    pub brittleness: Brittleness,
     next_index: usize,
 }
 
@@ -133,7 +137,7 @@
         now: Now,
     ) -> Option<u64> {
         match self.named_rates.get(endpoint.instance_hash, now) {
-            Some(rate) => endpoint.rate_wait_ms(rate, nodes, now),
+            Some(stated) => endpoint.rate_wait_ms(NamedRate::from(stated), nodes, now),
             None => Some(0),
         }
     }
@@ -147,6 +151,29 @@
         self.named_rates.record(endpoint.instance_hash, per_s, now)
     }
 
+    /// Records what a response states about the refusals in a second that the endpoints of
+    /// its service survive; returns whether that changed.
+    pub fn record_brittle(
+        &mut self,
+        key: EndpointKey,
+        refusals_per_s: Option<f64>,
+        now: Now,
+    ) -> bool {
+        let Some(endpoint) = self.endpoints.get(&key) else {
+            return false;
+        };
+        let service_hash = hash_bytes(endpoint.entry.service.as_str());
+        self.brittleness.record(service_hash, refusals_per_s, now)
+    }
+
+    /// Returns whether the endpoints of a service end if they refuse more than a few
+    /// requests.
+    #[must_use]
+    pub fn is_brittle(&self, service: &ServiceName, now: Now) -> bool {
+        let service_hash = hash_bytes(service.as_str());
+        self.brittleness.is_brittle(service_hash, now)
+    }
+
     /// Starts or ends the evacuation of a data centre. Its endpoints get no new
     /// requests during the evacuation.
     pub fn set_evacuated(&mut self, data_centre: DataCentreName, evacuated: bool) {
--- a/crates/hemlockhitch_routing/src/limits/mod.rs
+++ b/crates/hemlockhitch_routing/src/limits/mod.rs
@@ -1,5 +1,6 @@
 //! A node's share of limits that apply to all nodes together.
 
+mod brittleness;
 mod byte_budget;
 mod cold_rate;
 mod named_rate;
@@ -8,12 +9,15 @@
 mod rate_limiter;
 mod requested_rate;
 mod retry_budget;
+mod statements;
 
+pub use brittleness::Brittleness;
 pub use byte_budget::ByteBudget;
 pub use cold_rate::ColdRate;
-pub use named_rate::{NamedRate, NamedRates, RateStatement};
-pub use node_shares::NodeShares;
+pub use named_rate::NamedRate;
+pub use node_shares::{NodeShares, SlotShares};
 pub use pause::{PauseSettings, RequestedPause};
 pub use rate_limiter::RateLimiter;
 pub use requested_rate::RequestedRate;
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use statements::{Stated, Statement, Statements};
--- a/crates/hemlockhitch_routing/src/selection/mod.rs
+++ b/crates/hemlockhitch_routing/src/selection/mod.rs
@@ -3,8 +3,8 @@
 //! The endpoint with the lowest estimated cost is chosen: one with few requests, few
 //! prompt tokens to prefill, and the parts of the prompt in its cache. Endpoints with
 //! an open circuit breaker are used only if no other is left, cold ones are
-//! rate-limited, as are those that named a rate, and those that asked this node for a
-//! pause get nothing.
+//! rate-limited, as are those that named a rate, those that asked this node for a pause
+//! get nothing, and those that are brittle no more than they have slots for.
 
 mod cost;
 
@@ -101,11 +101,19 @@
     filter: VersionFilter<'_>,
     now: Now,
 ) -> Option<Choice> {
+    let is_brittle = fleet.is_brittle(request.service, now);
+    let slot_shares = is_brittle.then(|| request.nodes.slot_shares());
     let candidates: Vec<(EndpointKey, &Endpoint)> = fleet
         .eligible(request.service)
         .filter(|(_, endpoint)| filter.allows(&endpoint.entry.version))
         .filter(|(_, endpoint)| endpoint.pause_remaining_ms(now) == 0)
         .filter(|(_, endpoint)| fleet.rate_wait_ms(endpoint, request.nodes, now) == Some(0))
+        .filter(|(_, endpoint)| {
+            slot_shares.is_none_or(|shares| {
+                let slots = shares.slots(endpoint.entry.slots, endpoint.name_hash);
+                endpoint.in_flight < slots
+            })
+        })
         .filter(|(_, endpoint)| {
             !endpoint.is_cold(now) || allows_cold_request(request, endpoint, now)
         })
--- a/crates/hemlockhitch_routing/tests/named_rate.rs
+++ b/crates/hemlockhitch_routing/tests/named_rate.rs
@@ -4,7 +4,7 @@
 
 use hemlockhitch_routing::gossip::SharedFacts;
 use hemlockhitch_routing::hash_bytes;
-use hemlockhitch_routing::limits::{NamedRates, NodeShares, RateStatement};
+use hemlockhitch_routing::limits::{NamedRate, NodeShares, Statement, Statements};
 use insta::assert_snapshot;
 use support::at;
 use support::network::{CONTACT_MS, Network, TICK_MS, Trouble};
@@ -38,7 +38,7 @@
 /// Plays a fleet whose nodes send the endpoint a request whenever they may. `next_per_s`
 /// is the rate from 8 s on.
 fn play(count: usize, trouble: Trouble, per_s: f64, next_per_s: f64) -> Outcome {
-    let mut network: Network<NamedRates> = Network::new(count, trouble, Vec::len);
+    let mut network: Network<Statements> = Network::new(count, trouble, Vec::len);
     let hashes: Vec<u64> = (0..count)
         .map(|node| hash_bytes(format!("node-{node}")))
         .collect();
@@ -72,6 +72,7 @@
                 node_hashes: &hashes,
             };
             let rate = network.nodes[node].facts.get(INSTANCE, now);
+            let rate = rate.map(NamedRate::from);
             let may_send = rate.is_none_or(|rate| {
                 let interval_ms = rate.node_interval_ms(shares);
                 interval_ms.is_some_and(|interval_ms| {
@@ -209,9 +210,10 @@
             .map(|node| hash_bytes(format!("node-{node}")))
             .collect();
         for per_s in [0.0, 0.1, 0.4, 1.0, 1.3, 7.0, 60.0, 100.0] {
-            let mut rates = NamedRates::default();
+            let mut rates = Statements::default();
             rates.record(INSTANCE, Some(per_s), at(0));
             let rate = rates.get(INSTANCE, at(0)).expect("a rate");
+            let rate = NamedRate::from(rate);
             let intervals = hashes.iter().filter_map(|own_node_hash| {
                 rate.node_interval_ms(NodeShares {
                     own_node_hash: *own_node_hash,
@@ -246,10 +248,11 @@
     let hashes: Vec<u64> = (0..9)
         .map(|node| hash_bytes(format!("node-{node}")))
         .collect();
-    let mut rates = NamedRates::default();
+    let mut rates = Statements::default();
     rates.record(INSTANCE, Some(0.5), at(0));
     let senders_at = |now_ms: u64| -> Vec<usize> {
         let rate = rates.get(INSTANCE, at(now_ms)).expect("a rate");
+        let rate = NamedRate::from(rate);
         let may_send = |node: &usize| {
             let shares = NodeShares {
                 own_node_hash: hashes[*node],
@@ -267,12 +270,12 @@
 
 #[test]
 fn end_of_a_rate_outlives_older_statements_of_other_nodes() {
-    let mut rates = NamedRates::default();
+    let mut rates = Statements::default();
     rates.record(INSTANCE, Some(1.0), at(1_000));
     rates.record(INSTANCE, None, at(5_000));
-    let older = RateStatement {
-        instance_hash: INSTANCE,
-        per_s: Some(1.0),
+    let older = Statement {
+        subject_hash: INSTANCE,
+        value: Some(1.0),
         age_ms: 2_000,
     };
     rates.merge(&vec![older], at(5_500));
