Keep what is known of an endpoint while its registration is gone

What the endpoint saw: 62 and 51 requests from a node within the counted part of a pause of 3 s; 2 are allowed (BUDGET).

Cause: a pause, like the load, the circuit breaker and the count of requests under way, belongs to the node's view of the endpoint. That view ended with the registration, which is removed when an endpoint does not reach the store for some heartbeats, and was replaced by an entry that states no start time. Class of fault: state of an instance tied to the life of a record about it.

An entry without a start time shows no restart.

Tests: the two that failed pass; those of restarted endpoints are unchanged.

--- a/crates/hemlockhitch_routing/src/fleet/endpoint.rs
+++ b/crates/hemlockhitch_routing/src/fleet/endpoint.rs
@@ -92,7 +92,12 @@
         self.record_cold(entry.cold_remaining_ms, now);
         // An instance that is draining ends; an older registration does not undo that.
         let draining = self.entry.draining || entry.draining;
-        self.entry = EndpointEntry { draining, ..entry };
+        let started_unix_ms = self.entry.started_unix_ms.or(entry.started_unix_ms);
+        self.entry = EndpointEntry {
+            draining,
+            started_unix_ms,
+            ..entry
+        };
     }
 
     pub(super) fn set_leaving(&mut self) {
--- a/crates/hemlockhitch_routing/src/fleet/entry.rs
+++ b/crates/hemlockhitch_routing/src/fleet/entry.rs
@@ -29,14 +29,18 @@
 
 impl EndpointEntry {
     /// Returns whether both registrations come from the same instance, that is, without
-    /// a restart or a move in between.
+    /// a restart or a move in between. One that states no start time shows no restart.
     #[must_use]
     pub fn is_same_instance(&self, other: &Self) -> bool {
+        let is_same_start = match (self.started_unix_ms, other.started_unix_ms) {
+            (Some(started), Some(other_started)) => started == other_started,
+            (None, _) | (_, None) => true,
+        };
         self.name == other.name
             && self.service == other.service
             && self.address == other.address
             && self.version == other.version
-            && self.started_unix_ms == other.started_unix_ms
+            && is_same_start
     }
 
     /// Returns a hash that identifies the instance; the same on every node.
--- a/crates/hemlockhitch_routing/src/fleet/mod.rs
+++ b/crates/hemlockhitch_routing/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod departure;
 mod endpoint;
 mod entry;
+mod retired;
 
 pub use circuit_breaker::{CircuitBreaker, Sign};
 pub use endpoint::{Endpoint, Load, Outstanding};
@@ -12,6 +13,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use departure::Departures;
+use retired::RetiredEndpoints;
 
 use hemlockhitch_model::{
     DataCentreName, EndpointKey, EndpointName, Key, Now, ServiceName, hash_bytes,
@@ -27,6 +29,7 @@
     keys_by_service: HashMap<ServiceName, Vec<EndpointKey>>,
     evacuated: HashSet<DataCentreName>,
     departures: Departures,
+    retired: RetiredEndpoints,
     /// Request rates that endpoints take from all nodes together.
     pub named_rates: Statements,
     /// Services whose endpoints end if they refuse more than a few requests.
@@ -38,7 +41,8 @@
     /// Adds or updates an endpoint from its registration.
     ///
     /// An endpoint that restarted under the same name, or moved, gets a new key and no
-    /// history; its former key is returned as the second value.
+    /// history; its former key is returned as the second value. One that was removed and
+    /// did not restart keeps both.
     pub fn upsert(&mut self, entry: EndpointEntry, now: Now) -> (EndpointKey, Option<EndpointKey>) {
         if let Some(key) = self.key_by_name.get(&entry.name).copied() {
             if let Some(endpoint) = self.endpoints.get_mut(&key)
@@ -56,10 +60,10 @@
     /// Removes an endpoint; returns its former key.
     pub fn remove(&mut self, name: &EndpointName, now: Now) -> Option<EndpointKey> {
         let key = self.key_by_name.get(name).copied()?;
-        if let Some(endpoint) = self.endpoints.get(&key) {
+        if let Some(endpoint) = self.remove_key(key) {
             self.departures.record_removed(&endpoint.entry, now);
+            self.retired.retire(key, endpoint, now);
         }
-        self.remove_key(key);
         Some(key)
     }
 
@@ -81,8 +85,7 @@
             return false;
         };
         endpoint.set_leaving();
-        self.departures
-            .record_leaving(endpoint.entry.instance_hash(), now)
+        self.departures.record_leaving(endpoint.instance_hash, now)
     }
 
     /// Records the instances that other nodes know to be leaving, by their hashes.
@@ -95,7 +98,7 @@
             return;
         }
         for endpoint in self.endpoints.values_mut() {
-            if self.departures.is_leaving(endpoint.entry.instance_hash()) {
+            if self.departures.is_leaving(endpoint.instance_hash) {
                 endpoint.set_leaving();
             }
         }
@@ -106,7 +109,7 @@
     pub fn leaving(&self) -> impl Iterator<Item = u64> {
         let leaving = self.endpoints.values();
         let leaving = leaving.filter(|endpoint| endpoint.is_leaving() && !endpoint.entry.draining);
-        leaving.map(|endpoint| endpoint.entry.instance_hash())
+        leaving.map(|endpoint| endpoint.instance_hash)
     }
 
     /// Returns the time after which the first endpoint of a service may get requests of
@@ -190,9 +193,13 @@
         self.endpoints.get(&key)
     }
 
-    /// Returns an endpoint for modification, or `None` if it was removed.
+    /// Returns an endpoint for modification, or `None` if it was removed long ago. What its
+    /// last requests show still counts if it is registered again.
     pub fn get_mut(&mut self, key: EndpointKey) -> Option<&mut Endpoint> {
-        self.endpoints.get_mut(&key)
+        let retired = &mut self.retired;
+        self.endpoints
+            .get_mut(&key)
+            .or_else(|| retired.get_mut(key))
     }
 
     /// Iterates over all endpoints.
@@ -265,30 +272,40 @@
     }
 
     fn insert(&mut self, entry: EndpointEntry, now: Now) -> EndpointKey {
-        let key = EndpointKey::from_index(self.next_index);
-        self.next_index += 1;
+        let returned = self.retired.take_back(&entry, now);
+        let key = returned.as_ref().map_or_else(
+            || {
+                self.next_index += 1;
+                EndpointKey::from_index(self.next_index - 1)
+            },
+            |(key, _)| *key,
+        );
         self.key_by_name.insert(entry.name.clone(), key);
         let service_keys = self
             .keys_by_service
             .entry(entry.service.clone())
             .or_default();
         service_keys.push(key);
-        let is_leaving = self.departures.is_leaving(entry.instance_hash());
-        let mut endpoint = Endpoint::new(entry, now);
-        if is_leaving {
+        let mut endpoint = match returned {
+            Some((_, mut endpoint)) => {
+                endpoint.update_entry(entry, now);
+                endpoint
+            }
+            None => Endpoint::new(entry, now),
+        };
+        if self.departures.is_leaving(endpoint.instance_hash) {
             endpoint.set_leaving();
         }
         self.endpoints.insert(key, endpoint);
         key
     }
 
-    fn remove_key(&mut self, key: EndpointKey) {
-        let Some(endpoint) = self.endpoints.remove(&key) else {
-            return;
-        };
+    fn remove_key(&mut self, key: EndpointKey) -> Option<Endpoint> {
+        let endpoint = self.endpoints.remove(&key)?;
         self.key_by_name.remove(&endpoint.entry.name);
         if let Some(keys) = self.keys_by_service.get_mut(&endpoint.entry.service) {
             keys.retain(|other| *other != key);
         }
+        Some(endpoint)
     }
 }
