Read what a refusal states when nobody waits for it any more

Cause: the attempt and its connection were dropped with the caller or at the deadline. An endpoint refuses what waited in its queue at the same deadline, so its refusal is on its way at that moment. Class of fault: a fact about the endpoint that is read only on behalf of one request.

Change: a request that is given up before its response head is awaited for 150 ms more, the head is read for what it states about the endpoint, and the connection is closed. The endpoint hears of the caller's leaving that much later; the test of a passed request asks for less than 500 ms.

--- a/crates/hemlockhitch_gateway/src/attempt/mod.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/mod.rs
@@ -8,6 +8,7 @@
 mod context;
 mod headers;
 mod pass;
+mod pending;
 mod record;
 mod relay;
 mod response;
--- a/crates/hemlockhitch_gateway/src/attempt/send.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/send.rs
@@ -15,9 +15,10 @@
 use super::Gateway;
 use super::context::{AttemptHistory, RequestContext};
 use super::headers::strip_hop_by_hop_headers;
+use super::pending::PendingResponse;
 use super::slot::EndpointSlot;
 use super::stream::{OpenStream, StreamItem};
-use crate::connection::{Connection, Remote, SendError};
+use crate::connection::{Connection, SendError};
 use crate::dialect::{Dialect, ResponseMetadata, UpstreamMetadata};
 
 /// Maximum size of a response that is read in full before it is relayed, in bytes; an
@@ -79,9 +80,9 @@
         let Some(request) = self.build_request(ctx, history, &slot) else {
             return (Err(Seen::NotSent.into()), Some(slot));
         };
-        let pool = self.node_context.connection_pool();
-        let sending = pool.send(Remote::Endpoint(slot.endpoint), slot.address, request);
-        let sending = self.suspect_on_silence(ctx, sending);
+        let pending =
+            PendingResponse::send(&self.node_context, slot.endpoint, slot.address, request);
+        let sending = self.suspect_on_silence(ctx, pending.wait());
         match timeout(response_timeout, sending).await {
             Err(_) => (Err(Seen::Silent.into()), Some(slot)),
             Ok(Err(SendError::NotSent)) => {
