--- a/crates/hemlockhitch_routing/tests/departure.rs
+++ b/crates/hemlockhitch_routing/tests/departure.rs
@@ -231,3 +231,55 @@
     fleet.upsert(restarted("e-0"), at(3));
     assert!(choose(&fleet, at(4)).is_some());
 }
+
+#[test]
+fn removed_endpoint_that_registers_again_keeps_its_key_and_pause() {
+    let mut fleet = fleet(1);
+    let key = key_of(&fleet, "e-0");
+    let endpoint = fleet.get_mut(key).expect("listed");
+    endpoint.record_pause(10_000, at(0));
+    endpoint.in_flight = 2;
+    assert_eq!(fleet.remove(&"e-0".into(), at(1_000)), Some(key));
+    assert!(fleet.get(key).is_none());
+    assert_eq!(choose(&fleet, at(1_000)), None);
+    // A request that was under way ends in between.
+    fleet.get_mut(key).expect("remembered").in_flight -= 1;
+    assert_eq!(
+        fleet.upsert(entry("e-0", "a", "v1"), at(2_000)),
+        (key, None)
+    );
+    assert_eq!(choose(&fleet, at(2_000)), None);
+    assert_eq!(fleet.get(key).expect("listed").in_flight, 1);
+    assert_eq!(choose(&fleet, at(10_000)), Some(key));
+}
+
+#[test]
+fn removed_endpoint_that_restarted_or_returns_late_has_no_history() {
+    for (returned, at_ms) in [(restarted("e-0"), 2_000), (entry("e-0", "a", "v1"), 61_000)] {
+        let mut fleet = fleet(1);
+        let key = key_of(&fleet, "e-0");
+        let endpoint = fleet.get_mut(key).expect("listed");
+        endpoint.record_pause(100_000, at(0));
+        fleet.remove(&"e-0".into(), at(1_000));
+        let (new_key, _) = fleet.upsert(returned, at(at_ms));
+        assert_ne!(new_key, key);
+        assert_eq!(choose(&fleet, at(at_ms)), Some(new_key));
+    }
+}
+
+/// An entry of another writer may lack the start time.
+#[test]
+fn registration_without_a_start_time_shows_no_restart() {
+    let mut fleet = fleet(1);
+    let key = key_of(&fleet, "e-0");
+    fleet.record_leaving(key, at(0));
+    let unknown_start = EndpointEntry {
+        started_unix_ms: None,
+        ..entry("e-0", "a", "v1")
+    };
+    assert_eq!(fleet.upsert(unknown_start, at(1)), (key, None));
+    assert_eq!(choose(&fleet, at(1)), None);
+    let (new_key, replaced) = fleet.upsert(restarted("e-0"), at(2));
+    assert_eq!(replaced, Some(key));
+    assert_eq!(choose(&fleet, at(2)), Some(new_key));
+}
