Let requests wait for a slot at brittle endpoints while they can be in time

What callers saw: of 8 requests that arrive together at one of nine nodes, 3 were served and 5 refused, though the endpoints had room 0.4 s later.

Cause: a node's part of few slots is one to three, and what exceeds it for a moment was refused.

Change: such a request waits at its node if it will probably have a slot and end within its latency objective, by how long slots are held and how many wait (limits::SlotQueue); the rest is refused at once, as before. Later requests wait behind those that wait.

--- a/crates/hemlockhitch_gateway/src/attempt/context.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/context.rs
@@ -131,6 +131,8 @@
 /// The attempts made for a request so far.
 #[derive(Debug, Default)]
 pub(super) struct AttemptHistory {
+    /// Whether the request has waited for a slot.
+    pub(super) has_waited: bool,
     /// Whether the request was counted towards the retry budget of its service.
     pub(super) is_counted: bool,
     /// Endpoints that the attempts went to, including unreachable ones.
--- a/crates/hemlockhitch_gateway/src/attempt/mod.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/mod.rs
@@ -9,6 +9,7 @@
 mod headers;
 mod pass;
 mod pending;
+mod queue;
 mod record;
 mod relay;
 mod response;
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -112,7 +112,15 @@
                 history.is_counted = true;
                 self.record_request(ctx);
             }
-            let Some(slot) = EndpointSlot::acquire(&self.node_context, ctx, history) else {
+            let slot = if self.is_behind_others(ctx, history) {
+                None
+            } else {
+                EndpointSlot::acquire(&self.node_context, ctx, history)
+            };
+            let Some(slot) = slot else {
+                if self.wait_for_slot(ctx, history).await {
+                    continue;
+                }
                 return Err(self.no_endpoint_available(ctx, history));
             };
             if history.sent > 0 {
--- a/crates/hemlockhitch_gateway/src/attempt/slot.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/slot.rs
@@ -211,8 +211,17 @@
 impl<D: Dialect, C: Clock> Drop for EndpointSlot<D, C> {
     fn drop(&mut self) {
         self.finish_prefill();
-        if let Some(endpoint_state) = self.node_context.state().fleet.get_mut(self.endpoint) {
-            endpoint_state.in_flight = endpoint_state.in_flight.saturating_sub(1);
+        let held_ms = self.held_ms();
+        let mut state = self.node_context.state();
+        let Some(endpoint_state) = state.fleet.get_mut(self.endpoint) else {
+            return;
+        };
+        endpoint_state.in_flight = endpoint_state.in_flight.saturating_sub(1);
+        let service = endpoint_state.entry.service.clone();
+        let queue = state.slot_queues.entry(service).or_default();
+        queue.requests.record_held(held_ms);
+        if queue.requests.is_waiting() {
+            queue.freed.notify_one();
         }
     }
 }
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -14,7 +14,7 @@
 use hemlockhitch_routing::catalogue::{Catalogue, Service};
 use hemlockhitch_routing::crash_tracker::{CrashTracker, Evidence, Suspect};
 use hemlockhitch_routing::fleet::Fleet;
-use hemlockhitch_routing::limits::{ColdRate, NodeShares, RetryBudget};
+use hemlockhitch_routing::limits::{ColdRate, NodeShares, RetryBudget, SlotQueue};
 use hemlockhitch_routing::reach::{HelperSelector, Reach};
 use hemlockhitch_routing::roll_out::{self, RollOut, Stage};
 use hemlockhitch_routing::source::FollowableNode;
@@ -30,6 +30,14 @@
 use crate::settings::GatewaySettings;
 use crate::telemetry::OrganisationLabels;
 
+/// Requests that wait for a slot at the endpoints of a service.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceQueue {
+    pub(crate) requests: SlotQueue,
+    /// Notified when a slot is released.
+    pub(crate) freed: Arc<Notify>,
+}
+
 /// Known configuration, endpoints and nodes, and the node's counters.
 #[derive(Debug)]
 pub struct State {
@@ -56,6 +64,8 @@
     pub reach: Reach,
     /// The nodes to which this node passes requests while it reaches no endpoint.
     pub helpers: HelperSelector,
+    /// Requests that wait for a slot at brittle endpoints, by service.
+    pub(crate) slot_queues: HashMap<ServiceName, ServiceQueue>,
     /// Original requests and retries, by service.
     pub retry_budgets: HashMap<ServiceName, RetryBudget>,
     /// How close first events come to their latency objective, by service.
@@ -100,6 +110,7 @@
             crash_tracker: CrashTracker::default(),
             reach: Reach::default(),
             helpers: HelperSelector::default(),
+            slot_queues: HashMap::new(),
             retry_budgets: HashMap::new(),
             pressure: HashMap::new(),
             work_ranks: HashMap::new(),
--- a/crates/hemlockhitch_routing/src/fleet/mod.rs
+++ b/crates/hemlockhitch_routing/src/fleet/mod.rs
@@ -177,6 +177,16 @@
         self.brittleness.is_brittle(service_hash, now)
     }
 
+    /// Returns how many requests this node may have at all endpoints of a brittle service.
+    #[must_use]
+    pub fn own_slots(&self, service: &ServiceName, nodes: NodeShares<'_>) -> u32 {
+        let shares = nodes.slot_shares();
+        let endpoints = self.eligible(service);
+        endpoints
+            .map(|(_, endpoint)| shares.slots(endpoint.entry.slots, endpoint.name_hash))
+            .sum()
+    }
+
     /// Starts or ends the evacuation of a data centre. Its endpoints get no new
     /// requests during the evacuation.
     pub fn set_evacuated(&mut self, data_centre: DataCentreName, evacuated: bool) {
--- a/crates/hemlockhitch_routing/src/limits/mod.rs
+++ b/crates/hemlockhitch_routing/src/limits/mod.rs
@@ -9,6 +9,7 @@
 mod rate_limiter;
 mod requested_rate;
 mod retry_budget;
+mod slot_queue;
 mod statements;
 
 pub use brittleness::Brittleness;
@@ -20,4 +21,5 @@
 pub use rate_limiter::RateLimiter;
 pub use requested_rate::RequestedRate;
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use slot_queue::SlotQueue;
 pub use statements::{Stated, Statement, Statements};
