Pass the model of a stream that another node resumes

The node that passes it knows which model began the stream.

Change: the index of the model goes with the passed request. Seen by reading; no test brings a cut in the middle of a stream about in processes.

--- a/crates/hemlockhitch_gateway/src/attempt/pass.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/pass.rs
@@ -1,5 +1,5 @@
-//! Passes requests to another node while this one reaches no endpoint, and serves those
-//! that other nodes pass.
+//! Passes requests to another node while this one can send them to no endpoint, and serves
+//! those that other nodes pass.
 //!
 //! A request is passed once: the helper tries endpoints itself, within the limits that are
 //! left, and its response is relayed as an endpoint's would be.
@@ -31,6 +31,9 @@
 /// Number of attempts that were made before.
 const ATTEMPTS: HeaderName = HeaderName::from_static("x-pass-attempts");
 
+/// Index into the route's model sizes for the next attempt.
+const MODEL_SIZE: HeaderName = HeaderName::from_static("x-pass-model-size");
+
 /// Version of the configuration that the passing node knows.
 const CONFIGURATION_VERSION: HeaderName = HeaderName::from_static("x-pass-configuration-version");
 
@@ -48,6 +51,8 @@
     pub(super) remaining_ms: u64,
     /// Number of attempts that were made before.
     pub(super) attempts: u32,
+    /// Index into the route's model sizes for the next attempt.
+    pub(super) model_size: usize,
     /// Version of the configuration that the passing node knows.
     configuration_version: u64,
     /// Id of the last event that the caller has.
@@ -60,6 +65,7 @@
         Some(Self {
             remaining_ms: take_number(headers, &REMAINING_MS)?,
             attempts: u32::try_from(take_number(headers, &ATTEMPTS)?).ok()?,
+            model_size: usize::try_from(take_number(headers, &MODEL_SIZE)?).ok()?,
             configuration_version: take_number(headers, &CONFIGURATION_VERSION)?,
             last_event_id: take_number(headers, &LAST_EVENT_ID),
         })
@@ -68,6 +74,7 @@
     fn write(self, headers: &mut HeaderMap) {
         headers.insert(REMAINING_MS, HeaderValue::from(self.remaining_ms));
         headers.insert(ATTEMPTS, HeaderValue::from(self.attempts));
+        headers.insert(MODEL_SIZE, HeaderValue::from(self.model_size));
         let version = HeaderValue::from(self.configuration_version);
         headers.insert(CONFIGURATION_VERSION, version);
         headers.remove(LAST_EVENT_ID);
@@ -182,6 +189,7 @@
         let passed = PassedRequest {
             remaining_ms: ctx.remaining_ms(self.node_context.now()),
             attempts: history.sent,
+            model_size: history.model_size,
             configuration_version: self.configuration_version(),
             last_event_id: history.last_event_id,
         };
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -53,7 +53,9 @@
             sent: ctx.passed.map_or(0, |passed| passed.attempts),
             ..AttemptHistory::default()
         };
-        if ctx.metadata.last_event_id.is_some() {
+        if let Some(passed) = ctx.passed {
+            history.model_size = passed.model_size;
+        } else if ctx.metadata.last_event_id.is_some() {
             // The model that produced the first part is not known, so the largest is
             // used.
             history.model_size = ctx.route.sizes.len().saturating_sub(1);
