Pass requests of nodes that have no slot at brittle endpoints

What callers saw: with one endpoint of 8 slots and nine nodes, one node refused everything.

Cause: its part of the slots is none.

Test: fails before (503 at that node), passes after.

--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -94,7 +94,7 @@
             if self.is_blocked(ctx) {
                 return Err(blocked(history));
             }
-            if self.node_context.is_cut_off(&ctx.service) {
+            if self.node_context.needs_helper(&ctx.service) {
                 if ctx.passed.is_some() {
                     return Err(self.no_endpoint_available(ctx, history));
                 }
@@ -324,7 +324,7 @@
         let response = refusal.into_response();
         let is_not_taken = ctx.passed.is_some()
             && failure.outcome == Final::NotRun
-            && self.node_context.is_cut_off(&ctx.service);
+            && self.node_context.needs_helper(&ctx.service);
         if is_not_taken {
             pass::mark_not_taken(response)
         } else {
--- a/crates/hemlockhitch_gateway/src/state/reach.rs
+++ b/crates/hemlockhitch_gateway/src/state/reach.rs
@@ -24,6 +24,18 @@
         }
     }
 
+    /// Returns whether this node can send no request for a service, while others probably
+    /// can: it reaches no endpoint, or has no slot at those of a brittle service.
+    pub(crate) fn needs_helper(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        let state = self.state();
+        let nodes = state.node_shares(self.settings());
+        state.reach.is_cut_off(service)
+            || (state.fleet.is_brittle(service, now)
+                && state.fleet.own_slots(service, nodes) == 0
+                && state.fleet.eligible(service).next().is_some())
+    }
+
     /// Connects to endpoints of a service; returns whether one took the connection.
     pub(crate) async fn reaches_any(&self, service: &ServiceName) -> bool {
         let targets = self.probe_targets(service);
