--- a/crates/hemlockhitch_gateway/src/attempt/pass.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/pass.rs
@@ -44,6 +44,13 @@
 /// take it.
 const NOT_TAKEN: HeaderName = HeaderName::from_static("x-pass-not-taken");
 
+/// Hashes of the endpoint instances that the helper knows to be leaving, in hexadecimal and
+/// separated by commas.
+const LEAVING: HeaderName = HeaderName::from_static("x-pass-leaving");
+
+/// Number of leaving instances that a response names; the feed carries the others.
+const MAX_NAMED_LEAVING: usize = 32;
+
 /// What is left of a request that another node passes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct PassedRequest {
@@ -103,8 +110,39 @@
         if !takes_requests || self.configuration_version() < passed.configuration_version {
             return not_taken("the node cannot take the request; pass it to another one");
         }
-        self.handle_admitted(self.admit(request, Some(passed)).await)
-            .await
+        let admission = self.admit(request, Some(passed)).await;
+        let mut response = self.handle_admitted(admission).await;
+        self.name_leaving(response.headers_mut());
+        response
+    }
+
+    /// Names the leaving endpoints, since the node that relays the response of one is bound
+    /// by what it states.
+    fn name_leaving(&self, headers: &mut HeaderMap) {
+        let leaving = self.node_context.leaving();
+        let hashes = leaving.iter().take(MAX_NAMED_LEAVING);
+        let hashes: Vec<String> = hashes.map(|hash| format!("{hash:x}")).collect();
+        if let Ok(value) = HeaderValue::from_str(&hashes.join(","))
+            && !hashes.is_empty()
+        {
+            headers.insert(LEAVING, value);
+        }
+    }
+
+    /// Removes what a helper's response states about leaving endpoints, and records it.
+    fn take_leaving(&self, headers: &mut HeaderMap) {
+        let Some(value) = headers.remove(LEAVING) else {
+            return;
+        };
+        let hashes = value.to_str().unwrap_or_default().split(',');
+        let hashes = hashes.filter_map(|hash| u64::from_str_radix(hash, 16).ok());
+        let hashes: Vec<u64> = hashes.collect();
+        self.node_context.merge_leaving(&hashes);
+        tracing::info!(
+            event = "HH1248",
+            endpoints = hashes.len(),
+            "helper names leaving endpoints"
+        );
     }
 
     /// Passes the request to other nodes until one takes it.
@@ -128,7 +166,8 @@
                 Ok((response, _)) if response.headers().contains_key(NOT_TAKEN) => {
                     history.withdraw_attempt();
                 }
-                Ok((response, connection)) => {
+                Ok((mut response, connection)) => {
+                    self.take_leaving(response.headers_mut());
                     self.record_helper(ctx, helper, true);
                     let result = self.read_passed_response(ctx, response, connection).await;
                     history.in_progress = false;
