--- a/crates/hemlockhitch_gateway/src/attempt/pass.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/pass.rs
@@ -5,15 +5,17 @@
 //! left, and its response is relayed as an endpoint's would be.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use hemlockhitch_model::Clock;
-use hemlockhitch_routing::reach::MAX_HELPERS_PER_REQUEST;
+use hemlockhitch_routing::reach::{MAX_HELPERS_PER_REQUEST, SILENCE_MS};
 use hemlockhitch_routing::retry::Seen;
 use hemlockhitch_routing::{hash_bytes, mix};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use tokio::time::sleep;
 
 use super::Gateway;
 use super::context::{AttemptHistory, RequestContext};
@@ -160,9 +162,7 @@
             };
             telemetry::count_pass();
             history.start_attempt();
-            let pool = self.node_context.connection_pool();
-            let sent = pool.send(Remote::Node(helper), helper, request).await;
-            match sent {
+            match self.send_to_helper(helper, request).await {
                 Ok((response, _)) if response.headers().contains_key(NOT_TAKEN) => {
                     history.withdraw_attempt();
                 }
@@ -191,14 +191,40 @@
         catalogue.map_or(0, |catalogue| catalogue.version())
     }
 
+    /// Sends a request to a helper; fails as well if the helper stops taking connections
+    /// before its response begins.
+    async fn send_to_helper(
+        &self,
+        helper: SocketAddr,
+        request: Request<Full<bytes::Bytes>>,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        let pool = self.node_context.connection_pool();
+        let sending = pool.send(Remote::Node(helper), helper, request);
+        let lost = async {
+            loop {
+                sleep(Duration::from_millis(SILENCE_MS)).await;
+                if !pool.is_node_listening(helper).await {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            sent = sending => sent,
+            () = lost => Err(SendError::Broken),
+        }
+    }
+
     fn select_helper(&self, ctx: &RequestContext<D, C>, draw: u64) -> Option<SocketAddr> {
         let now = self.node_context.now();
         let own = self.node_context.settings().followable();
+        let is_first = draw == 0;
         let draw = mix(hash_bytes(&ctx.metadata.request_id), draw);
         let state = self.node_context.state();
+        let nodes = state.followable();
         let helper = state
             .helpers
-            .select(own, state.followable(), &ctx.service, draw, now)?;
+            .select(own, nodes, &ctx.service, draw, is_first, now)?;
         helper.address.parse().ok()
     }
 
--- a/crates/hemlockhitch_gateway/src/connection/mod.rs
+++ b/crates/hemlockhitch_gateway/src/connection/mod.rs
@@ -126,6 +126,11 @@
         open::is_listening(address, self.source_address).await
     }
 
+    /// Returns whether another node takes connections; nothing is sent on it.
+    pub(crate) async fn is_node_listening(&self, address: SocketAddr) -> bool {
+        open::is_listening(address, None).await
+    }
+
     /// Returns a connection to the pool after its response was read in full.
     pub(crate) fn release(&self, connection: Connection, keepalive_ms: Option<u64>) {
         let idle_ms = keepalive_ms.map_or(DEFAULT_IDLE_TIMEOUT_MS, |keepalive_ms| {
--- a/crates/hemlockhitch_routing/tests/reach.rs
+++ b/crates/hemlockhitch_routing/tests/reach.rs
@@ -156,11 +156,13 @@
         for index in (0..count).filter(|index| is_cut_off(*index)) {
             outcome.requests += 1;
             let mut helpers = nodes[index].helpers.clone();
-            for draw in 0..MAX_HELPERS_PER_REQUEST as u64 {
+            for asked in 0..MAX_HELPERS_PER_REQUEST as u64 {
                 let own = nodes[index].followable();
                 let others = nodes.iter().map(SimulatedNode::followable);
-                let draw = hemlockhitch_model::mix(now_ms, draw);
-                let Some(helper) = helpers.select(own, others, &service(), draw, at(now_ms)) else {
+                let mixed = hemlockhitch_model::mix(now_ms, asked);
+                let Some(helper) =
+                    helpers.select(own, others, &service(), mixed, asked == 0, at(now_ms))
+                else {
                     break;
                 };
                 outcome.calls += 1;
@@ -217,13 +219,16 @@
     };
     let other = ServiceName::from("other");
     helpers.record(node("node-2"), &service(), false, at(0));
-    let select = |service: &ServiceName, now: Now| {
+    let select = |service: &ServiceName, asks_again: bool, now: Now| {
         let nodes = [node("node-1"), node("node-2")].into_iter();
         helpers
-            .select(node("node-1"), nodes, service, 0, now)
+            .select(node("node-1"), nodes, service, 0, asks_again, now)
             .map(|node| node.name)
     };
-    assert_eq!(select(&service(), at(1)), None);
-    assert_eq!(select(&other, at(1)), Some("node-2"));
-    assert_eq!(select(&service(), at(2_000)), Some("node-2"));
+    assert_eq!(select(&service(), true, at(1)), None);
+    assert_eq!(select(&other, false, at(1)), Some("node-2"));
+    assert_eq!(select(&service(), false, at(1_999)), None);
+    assert_eq!(select(&service(), false, at(2_000)), Some("node-2"));
+    // The only other node may have restarted.
+    assert_eq!(select(&service(), true, at(400)), Some("node-2"));
 }
