--- a/crates/hemlockhitch_gateway/src/attempt/pass/mod.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/pass/mod.rs
@@ -1,7 +1,7 @@
 //! Passes requests to another node while this one can send them to no endpoint, and serves
 //! those that other nodes pass.
 //!
-//! A request is passed once: the helper tries endpoints itself, within the limits that are
+//! A request is passed once: the helper makes the attempts, within the limits that are
 //! left, and its response is relayed as an endpoint's would be.
 
 mod message;
--- a/crates/hemlockhitch_gateway/src/attempt/queue.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/queue.rs
@@ -16,7 +16,7 @@
 enum Place {
     /// It is refused.
     None,
-    /// It tries again at once.
+    /// A slot is free again.
     Free,
     /// It waits until a slot is released.
     Waiting {
--- a/crates/hemlockhitch_routing/tests/reach.rs
+++ b/crates/hemlockhitch_routing/tests/reach.rs
@@ -184,7 +184,7 @@
     outcome
 }
 
-/// From the third second of a cut on, most first tries must be served.
+/// From the third second of a cut on, most first attempts must be served.
 #[test]
 fn most_requests_find_a_helper_whichever_nodes_are_cut_off() {
     let mut lines = Vec::new();
