--- a/crates/hemlockhitch_routing/src/reach/helper.rs
+++ b/crates/hemlockhitch_routing/src/reach/helper.rs
@@ -1,7 +1,7 @@
 //! Selection of the node that a cut-off node passes a request to.
 //!
 //! It is made for fleets of hundreds of nodes of which the greater part may be cut off at
-//! once, as may all nodes of a data centre. A node learns from the answers which others
+//! once, as may all nodes of a data centre. A node learns from the responses which others
 //! reach the service, so nothing is exchanged beforehand.
 
 use std::collections::HashMap;
@@ -13,9 +13,7 @@
 /// Number of nodes among which a node divides its requests.
 const HELPERS: usize = 3;
 
-/// Number of nodes that one request is passed to before it is refused: with three of five
-/// nodes cut off, fewer than two in a hundred requests of a node that knows nothing yet
-/// find none.
+/// Number of nodes that are asked to take one request before it is refused.
 pub const MAX_HELPERS_PER_REQUEST: usize = 8;
 
 /// How long a node that did not take a request is passed over, in milliseconds.
@@ -32,7 +30,7 @@
 /// data centres come first, unless one of them took one.
 const DATA_CENTRE_FAILURES: usize = 2;
 
-/// The last answer of a node for one service.
+/// Whether a node took the last request for one service.
 #[derive(Clone, Copy, Debug)]
 struct Answer {
     data_centre_hash: u64,
@@ -113,7 +111,7 @@
         }
         available.sort_unstable_by_key(|(order, _)| *order);
         let ((best_tier, best_is_remote, _), _) = available.first().copied()?;
-        // A remote node costs more than a second request at a local one.
+        // Remote or uncertain nodes do not share requests with better ones.
         available.retain(|((tier, is_remote, _), _)| {
             let is_uncertain = |tier: Tier| tier >= Tier::UnknownInFailing;
             is_uncertain(*tier) == is_uncertain(best_tier) && *is_remote == best_is_remote
