Place requests by how long work currently takes at an endpoint

Cause: endpoints state with their load how long work currently takes on their machines (a fourth figure, 100 as usual). It was not read, so a request went to a machine on which it runs three times as long as readily as to another.

Change: the figure is decoded with the time of its reading, clamped to 50 to 1,000, and a malformed one is logged once for each endpoint (HH1272). An estimate for each endpoint gives the latest reading a weight that falls as fast as the figures of that endpoint were seen to change; without a recent reading it returns to the endpoint's own mean and then to 100. The cost of an endpoint counts the work of the request and what is ahead of it by the estimate.

--- a/crates/hemlockhitch_gateway/src/state/endpoint.rs
+++ b/crates/hemlockhitch_gateway/src/state/endpoint.rs
@@ -87,8 +87,10 @@
         if is_newly_leaving {
             tracing::info!(event = "HH1232", %name, "endpoint states that it is leaving");
         }
-        if let Some(load) = metadata.load {
-            endpoint.record_load(load, now);
+        if let Some(load) = metadata.load
+            && endpoint.record_load(load, now)
+        {
+            tracing::warn!(event = "HH1272", %name, "endpoint states an unreadable work time");
         }
         endpoint.record_cold(metadata.cold_remaining_ms, now);
         let Some(requested) = metadata.pause else {
--- a/crates/hemlockhitch_routing/src/fleet/endpoint.rs
+++ b/crates/hemlockhitch_routing/src/fleet/endpoint.rs
@@ -4,7 +4,8 @@
 
 use hemlockhitch_model::Now;
 
-use super::{CircuitBreaker, EndpointEntry};
+use super::work_time::USUAL_PERCENT;
+use super::{CircuitBreaker, EndpointEntry, StatedWorkTime, WorkTimeEstimate};
 use crate::limits::{NamedRate, NodeShares, RateLimiter};
 use hemlockhitch_model::hash_bytes;
 
@@ -17,7 +18,7 @@
 const MAX_REMEMBERED_PARTS: usize = 2_048;
 
 /// Load that an endpoint reports itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
     /// Requests that are running.
     pub running: u32,
@@ -25,6 +26,8 @@
     pub waiting: u32,
     /// Requests that can run concurrently.
     pub slots: u32,
+    /// How long work currently takes; `None` if the endpoint does not state it.
+    pub work_time: Option<StatedWorkTime>,
 }
 
 /// Outstanding requests of one or more nodes at an endpoint.
@@ -63,6 +66,9 @@
     is_leaving: bool,
     last_sent_mono_ms: Option<u64>,
     load: Option<(Load, Now)>,
+    /// `None` if the endpoint never stated how long work takes.
+    work_time: Option<WorkTimeEstimate>,
+    has_stated_unreadable: bool,
     peer_requests: Option<(Outstanding, Now)>,
     /// Time of the latest prefill, by model hash and part identifier.
     part_prefill_mono_ms: HashMap<(u64, u64), u64>,
@@ -83,6 +89,8 @@
             pending_prefill_tokens: 0,
             cold_limiter: RateLimiter::default(),
             load: None,
+            work_time: None,
+            has_stated_unreadable: false,
             peer_requests: None,
             part_prefill_mono_ms: HashMap::new(),
         }
@@ -162,9 +170,41 @@
         now.mono_ms < self.cold_until_mono_ms
     }
 
-    /// Records the load that the endpoint reported.
-    pub fn record_load(&mut self, load: Load, now: Now) {
+    /// Records the load that the endpoint reported; returns whether its statement of the
+    /// work time was unreadable for the first time.
+    pub fn record_load(&mut self, load: Load, now: Now) -> bool {
         self.load = Some((load, now));
+        if load.work_time.is_some() || self.work_time.is_some() {
+            // An endpoint that no longer states it works as usual.
+            let stated = load.work_time.unwrap_or(StatedWorkTime::Unreadable);
+            self.record_work_time(stated, now);
+        }
+        let is_unreadable = load.work_time == Some(StatedWorkTime::Unreadable);
+        is_unreadable && !std::mem::replace(&mut self.has_stated_unreadable, true)
+    }
+
+    /// Records how long work takes, as read at the endpoint at `read_at`.
+    pub fn record_work_time(&mut self, stated: StatedWorkTime, read_at: Now) {
+        match &mut self.work_time {
+            Some(work_time) => work_time.record(stated, read_at),
+            None => self.work_time = Some(WorkTimeEstimate::new(stated, read_at)),
+        }
+    }
+
+    /// Returns the estimate of how long work takes; `None` if the endpoint never stated it.
+    #[must_use]
+    pub fn work_time(&self) -> Option<&WorkTimeEstimate> {
+        self.work_time.as_ref()
+    }
+
+    /// Estimates how much longer than usual work takes at the endpoint, as a fraction of the
+    /// usual time: 0 as usual and for endpoints that do not state it, 2 for three times as
+    /// long, negative if it takes less.
+    #[must_use]
+    pub fn slowdown_ratio(&self, now: Now) -> f64 {
+        self.work_time.map_or(0.0, |work_time| {
+            (work_time.percent(now) - f64::from(USUAL_PERCENT)) / f64::from(USUAL_PERCENT)
+        })
     }
 
     /// Returns the number of queued requests in the last report, decayed by the age of
--- a/crates/hemlockhitch_routing/src/fleet/mod.rs
+++ b/crates/hemlockhitch_routing/src/fleet/mod.rs
@@ -6,10 +6,12 @@
 mod entry;
 mod retired;
 mod statement;
+pub mod work_time;
 
 pub use circuit_breaker::{CircuitBreaker, Sign};
 pub use endpoint::{Endpoint, Load, Outstanding};
 pub use entry::EndpointEntry;
+pub use work_time::{StatedWorkTime, WorkTimeEstimate};
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
--- a/crates/hemlockhitch_routing/src/selection/cost.rs
+++ b/crates/hemlockhitch_routing/src/selection/cost.rs
@@ -2,7 +2,9 @@
 //! smallest model.
 //!
 //! It is made for a load of prompts for several models, where the prefill of one long
-//! prompt for a large model blocks an endpoint for longer than dozens of short ones.
+//! prompt for a large model blocks an endpoint for longer than dozens of short ones, and
+//! for endpoints whose machines are slow for a while: work, that of the request itself and
+//! what is ahead of it, counts by the time that it currently takes there.
 
 use hemlockhitch_model::{EndpointKey, Key, Now};
 
@@ -56,6 +58,11 @@
 /// locally.
 const NO_PROMPT_REMOTE_COST_TOKENS: f64 = 3_300.0;
 
+/// Work of a request without a prompt itself. It is the cost of a fully used endpoint: a
+/// request that runs twice as long ends later than one that waits for a slot elsewhere,
+/// where one of several requests ends soon.
+const NO_PROMPT_OWN_COST_TOKENS: f64 = 10_000.0;
+
 /// Returns the candidate with the lowest cost.
 pub(super) fn lowest_cost<'a>(
     candidates: impl Iterator<Item = (EndpointKey, &'a Endpoint)>,
@@ -113,19 +120,23 @@
         } else {
             0.0
         };
-        return base_cost + used_ratio * NO_PROMPT_FULL_COST_TOKENS + remote_cost;
+        let used_cost = used_ratio * NO_PROMPT_FULL_COST_TOKENS;
+        let slow_cost = (NO_PROMPT_OWN_COST_TOKENS + used_cost) * endpoint.slowdown_ratio(now);
+        return base_cost + used_cost + remote_cost + slow_cost;
     };
     let remote_cost = if is_remote {
         REMOTE_COST_TOKENS + REMOTE_COST_TOKENS_PER_BYTE * as_f64(request.body_bytes)
     } else {
         0.0
     };
-    base_cost
-        + remote_cost
-        + prefill_cost_tokens(endpoint, has_affinity, &prompt, now)
-        + endpoint.total_pending_prefill_tokens(now)
-        + endpoint.requests(now) * RUNNING_COST_TOKENS
-        + endpoint.waiting(now) * WAITING_COST_TOKENS
+    let prefill_cost = prefill_cost_tokens(endpoint, has_affinity, &prompt, now);
+    let pending_cost = endpoint.total_pending_prefill_tokens(now);
+    let running_cost = endpoint.requests(now) * RUNNING_COST_TOKENS;
+    let waiting_cost = endpoint.waiting(now) * WAITING_COST_TOKENS;
+    // The request itself runs there, too.
+    let work = prefill_cost + pending_cost + running_cost + waiting_cost + RUNNING_COST_TOKENS;
+    let slow_cost = work * endpoint.slowdown_ratio(now);
+    base_cost + remote_cost + prefill_cost + pending_cost + running_cost + waiting_cost + slow_cost
 }
 
 /// Returns the cost of the prefill of the parts that the endpoint has not cached.
--- a/crates/hemlockhitch_routing/tests/selection.rs
+++ b/crates/hemlockhitch_routing/tests/selection.rs
@@ -212,6 +212,7 @@
         running: 8,
         waiting: 6,
         slots: 8,
+        work_time: None,
     };
     fleet
         .get_mut(local)
