Probe the health path where responses do not tell which endpoint is slow

Cause: with many nodes, each reads an endpoint less often than its work time changes, and chooses by chance.

Change: before an attempt a node may ask the health path of the chosen endpoint, if the probable error of the estimate times the usual work is 30 ms or more, at most gateway.probes_per_s times a second, and never at endpoints that are cold, failing, brittle, paused or that name a rate. Off by default, as the price of a probe on the users' platform was not measured. Gauge of the endpoints by estimated work time and a counter of probes.

--- a/crates/hemlockhitch/src/gateway/derived.rs
+++ b/crates/hemlockhitch/src/gateway/derived.rs
@@ -47,6 +47,7 @@
         .cold_allowance(bounds.cold_allowance)
         .exposure_share(bounds.exposure_share)
         .max_endpoint_pause_ms(millis(bounds.max_pause_s))
+        .probes_per_s(bounds.probes_per_s)
         .prompt_cache_ttl_ms(millis(bounds.part_kept_s))
         .session_ttl_ms(millis(bounds.session_s))
         .deletion_grace_ms(DELETION_GRACE_MS)
--- a/crates/hemlockhitch_config/src/settings/decimal.rs
+++ b/crates/hemlockhitch_config/src/settings/decimal.rs
@@ -61,6 +61,8 @@
     DecimalSetting::new("exposure_share", 0.15, (0.02, 1.0));
 pub(super) const MAX_PAUSE_S: DecimalSetting =
     DecimalSetting::new("max_pause_s", 60.0, (0.1, 3_600.0));
+pub(super) const PROBES_PER_S: DecimalSetting =
+    DecimalSetting::new("probes_per_s", 0.0, (0.0, 50.0));
 pub(super) const PART_KEPT_S: DecimalSetting =
     DecimalSetting::new("part_kept_s", 10.0, (0.1, 3_600.0));
 pub(super) const SESSION_S: DecimalSetting = DecimalSetting::new("session_s", 5.0, (0.1, 3_600.0));
--- a/crates/hemlockhitch_config/src/settings/gateway.rs
+++ b/crates/hemlockhitch_config/src/settings/gateway.rs
@@ -68,6 +68,8 @@
     pub exposure_share: f64,
     /// Longest pause that an endpoint may ask a node for, in seconds.
     pub max_pause_s: f64,
+    /// Maximum number of probes of work times per second; 0 for none.
+    pub probes_per_s: f64,
     /// Time for which a prompt part stays cached at an endpoint, in seconds.
     pub part_kept_s: f64,
     /// Time for which a session keeps its version after a request, in seconds.
@@ -120,6 +122,7 @@
         cold_allowance: decimal::COLD_ALLOWANCE.read(reader),
         exposure_share: decimal::EXPOSURE_SHARE.read(reader),
         max_pause_s: decimal::MAX_PAUSE_S.read(reader),
+        probes_per_s: decimal::PROBES_PER_S.read(reader),
         part_kept_s: decimal::PART_KEPT_S.read(reader),
         session_s: decimal::SESSION_S.read(reader),
         grace_s: decimal::GRACE_S.read(reader),
--- a/crates/hemlockhitch_gateway/src/attempt/mod.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/mod.rs
@@ -10,6 +10,7 @@
 mod outcome;
 mod pass;
 mod pending;
+mod probe;
 mod queue;
 mod record;
 mod relay;
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -90,6 +90,7 @@
                 history.is_counted = true;
                 self.record_request(ctx);
             }
+            self.probe_work_time(ctx, history).await;
             let slot = if self.is_behind_others(ctx, history) {
                 None
             } else {
--- a/crates/hemlockhitch_gateway/src/attempt/slot.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/slot.rs
@@ -52,38 +52,10 @@
         history: &AttemptHistory,
     ) -> Option<Self> {
         let now = node_context.now();
-        let settings = node_context.settings();
         let mut state = node_context.state();
         let state = &mut *state;
-        let service = state.catalogue.as_ref()?.find_service(&ctx.service)?;
-        let cold_rate = state.cold_rate(service, settings);
-        let model = ctx
-            .model_at_size(history.model_size)
-            .or(ctx.metadata.model.as_deref());
-        let model_hash = model.map_or(0, hash_bytes);
-        let prompt = (ctx.metadata.prompt_tokens > 0).then_some(Prompt {
-            model_hash,
-            model_size: history.model_size,
-            parts: &ctx.metadata.parts,
-            tokens: ctx.metadata.prompt_tokens,
-            cache_ttl_ms: settings.prompt_cache_ttl_ms,
-        });
-        let request = SelectionRequest {
-            service: &ctx.service,
-            local_data_centre: &settings.data_centre,
-            tried: &history.tried,
-            body_bytes: ctx.body.len() as u64,
-            prompt,
-            nodes: state.node_shares(settings),
-            cold_rate,
-            tie_breaker: mix(
-                hash_bytes(&ctx.metadata.request_id),
-                history.tried.len() as u64,
-            ),
-        };
-        let choose =
-            |filter: VersionFilter<'_>| choose_endpoint(&state.fleet, &request, filter, now);
-        let choice = choose_version(state, ctx, choose, now)?;
+        let choice = choose(node_context, state, ctx, history, now)?;
+        let model_hash = model_hash(ctx, history);
         let endpoint = choice.endpoint;
         let endpoint_state = state.fleet.get_mut(endpoint)?;
         let pending_prefill_tokens = choice.prefill_cost_tokens;
@@ -101,7 +73,7 @@
         if let Some(roll_out) = state.roll_outs.get_mut(&ctx.service) {
             roll_out.record_request(&version, now);
         }
-        let priority = if prompt.is_some() {
+        let priority = if ctx.metadata.prompt_tokens > 0 {
             let ranks = state.work_ranks.entry(ctx.service.clone()).or_default();
             ranks.record(pending_prefill_tokens);
             ranks.urgency(pending_prefill_tokens)
@@ -226,6 +198,48 @@
     }
 }
 
+/// Chooses the endpoint that a request would be sent to now.
+pub(super) fn choose<D: Dialect, C: Clock>(
+    node_context: &NodeContext<D, C>,
+    state: &State,
+    ctx: &RequestContext<D, C>,
+    history: &AttemptHistory,
+    now: Now,
+) -> Option<Choice> {
+    let settings = node_context.settings();
+    let service = state.catalogue.as_ref()?.find_service(&ctx.service)?;
+    let prompt = (ctx.metadata.prompt_tokens > 0).then_some(Prompt {
+        model_hash: model_hash(ctx, history),
+        model_size: history.model_size,
+        parts: &ctx.metadata.parts,
+        tokens: ctx.metadata.prompt_tokens,
+        cache_ttl_ms: settings.prompt_cache_ttl_ms,
+    });
+    let request = SelectionRequest {
+        service: &ctx.service,
+        local_data_centre: &settings.data_centre,
+        tried: &history.tried,
+        body_bytes: ctx.body.len() as u64,
+        prompt,
+        nodes: state.node_shares(settings),
+        cold_rate: state.cold_rate(service, settings),
+        tie_breaker: mix(
+            hash_bytes(&ctx.metadata.request_id),
+            history.tried.len() as u64,
+        ),
+    };
+    let choose = |filter: VersionFilter<'_>| choose_endpoint(&state.fleet, &request, filter, now);
+    choose_version(state, ctx, choose, now)
+}
+
+/// Returns the hash of the name of the model that processes the prompt.
+fn model_hash<D: Dialect, C: Clock>(ctx: &RequestContext<D, C>, history: &AttemptHistory) -> u64 {
+    let model = ctx
+        .model_at_size(history.model_size)
+        .or(ctx.metadata.model.as_deref());
+    model.map_or(0, hash_bytes)
+}
+
 /// Chooses an endpoint of the version that the roll-out selects, or of another version
 /// if that one has none.
 fn choose_version<D: Dialect, C: Clock>(
--- a/crates/hemlockhitch_gateway/src/settings.rs
+++ b/crates/hemlockhitch_gateway/src/settings.rs
@@ -47,6 +47,8 @@
     pub registration_wait_ms: u64,
     /// Longest pause that an endpoint may ask this node for, in milliseconds.
     pub max_endpoint_pause_ms: u64,
+    /// Maximum number of probes of work times per second; 0 for none.
+    pub probes_per_s: f64,
     /// Maximum number of requests in flight.
     pub max_in_flight: usize,
 }
@@ -76,6 +78,7 @@
             deletion_grace_ms: 2_200,
             registration_wait_ms: 0,
             max_endpoint_pause_ms: 60_000,
+            probes_per_s: 0.0,
             max_in_flight: 1_000,
         }
     }
@@ -203,6 +206,13 @@
         self
     }
 
+    /// Sets the maximum number of probes of work times per second; 0 for none.
+    #[must_use]
+    pub fn probes_per_s(mut self, probes_per_s: f64) -> Self {
+        self.probes_per_s = probes_per_s;
+        self
+    }
+
     /// Sets the maximum number of requests in flight.
     #[must_use]
     pub fn max_in_flight(mut self, max_in_flight: usize) -> Self {
--- a/crates/hemlockhitch_gateway/src/telemetry/mod.rs
+++ b/crates/hemlockhitch_gateway/src/telemetry/mod.rs
@@ -120,6 +120,11 @@
     metrics::counter!("gateway_passes").increment(1);
 }
 
+/// Counts a probe of an endpoint's work time.
+pub(crate) fn count_work_time_probe() {
+    metrics::counter!("gateway_work_time_probes").increment(1);
+}
+
 /// Counts a stream that another endpoint resumed.
 pub(crate) fn count_resume() {
     metrics::counter!("gateway_resumes").increment(1);
@@ -155,7 +160,17 @@
         ),
     ];
     let age_ms = state.freshness.age_ms(now);
+    let slowdowns = fleet
+        .endpoints()
+        .filter(|endpoint| endpoint.work_time().is_some());
+    let slowdowns: Vec<f64> = slowdowns
+        .map(|endpoint| endpoint.slowdown_ratio(now))
+        .collect();
     drop(state);
+    for (name, count) in count_by_work_time(&slowdowns) {
+        metrics::gauge!("gateway_endpoints_by_work_time", "work_time" => name)
+            .set(to_f64(count as u64));
+    }
     if let Some(age_ms) = age_ms {
         metrics::gauge!("gateway_configuration_age_ms").set(to_f64(age_ms));
     }
@@ -164,6 +179,20 @@
     }
 }
 
+/// Counts the endpoints that state their work time by what is estimated: at most a quarter
+/// longer than usual, at most twice as long, or longer.
+fn count_by_work_time(slowdown_ratios: &[f64]) -> [(&'static str, usize); 3] {
+    let count = |range: std::ops::Range<f64>| {
+        let ratios = slowdown_ratios.iter();
+        ratios.filter(|ratio| range.contains(ratio)).count()
+    };
+    [
+        ("usual", count(f64::NEG_INFINITY..0.25)),
+        ("longer", count(0.25..1.0)),
+        ("twice_or_more", count(1.0..f64::INFINITY)),
+    ]
+}
+
 fn count_where(fleet: &Fleet, predicate: impl Fn(&Endpoint) -> bool) -> usize {
     fleet
         .endpoints()
--- a/crates/hemlockhitch_routing/src/catalogue/route.rs
+++ b/crates/hemlockhitch_routing/src/catalogue/route.rs
@@ -68,6 +68,8 @@
     pub name: ServiceName,
     /// Rate limit of a cold endpoint; `None` if cold endpoints are not limited.
     pub cold_rate_limit: Option<ColdRateLimit>,
+    /// Path at which its endpoints answer at once, with their load.
+    pub health_path: Option<String>,
 }
 
 /// Rate limit of a cold endpoint.
--- a/crates/hemlockhitch_routing/src/fleet/mod.rs
+++ b/crates/hemlockhitch_routing/src/fleet/mod.rs
@@ -4,13 +4,15 @@
 mod departure;
 mod endpoint;
 mod entry;
+mod load;
 mod retired;
 mod statement;
 pub mod work_time;
 
 pub use circuit_breaker::{CircuitBreaker, Sign};
-pub use endpoint::{Endpoint, Load, Outstanding};
+pub use endpoint::Endpoint;
 pub use entry::EndpointEntry;
+pub use load::{Load, Outstanding};
 pub use work_time::{StatedWorkTime, WorkTimeEstimate};
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -20,7 +22,7 @@
 
 use hemlockhitch_model::{DataCentreName, EndpointKey, EndpointName, Key, Now, ServiceName};
 
-use crate::limits::{Brittleness, Statements};
+use crate::limits::{Brittleness, RateLimiter, Statements};
 
 /// All known endpoints, by keys that are never reused.
 #[derive(Clone, Debug, Default)]
@@ -35,6 +37,8 @@
     pub named_rates: Statements,
     /// Services whose endpoints end if they refuse more than a few requests.
     pub brittleness: Brittleness,
+    /// Rate limiter for this node's probes of work times.
+    pub probe_limiter: RateLimiter,
     next_index: usize,
 }
 
--- a/crates/hemlockhitch_routing/src/fleet/work_time.rs
+++ b/crates/hemlockhitch_routing/src/fleet/work_time.rs
@@ -152,6 +152,21 @@
         base_percent + self.reading_weight(now) * (self.latest_percent - base_percent)
     }
 
+    /// Returns the latest reading, in percent of the usual time.
+    #[must_use]
+    pub fn latest_percent(&self) -> f64 {
+        self.latest_percent
+    }
+
+    /// Returns by how much the estimate probably differs from what holds now, in percent of
+    /// the usual time. `peer_variance` is the variance between the endpoints of the service:
+    /// this endpoint may vary as much without having been read often enough to show it.
+    #[must_use]
+    pub fn error_percent(&self, peer_variance: f64, now: Now) -> f64 {
+        let variance = self.variance.max(peer_variance);
+        (variance * (1.0 - self.reading_weight(now).powi(2))).sqrt()
+    }
+
     /// Returns the weight of the latest reading, from 0 to 1.
     #[must_use]
     pub fn reading_weight(&self, now: Now) -> f64 {
--- a/crates/hemlockhitch_routing/src/limits/slot_queue.rs
+++ b/crates/hemlockhitch_routing/src/limits/slot_queue.rs
@@ -21,6 +21,13 @@
         self.held_ms = Some(mean + (sample - mean) * EWMA_WEIGHT);
     }
 
+    /// Returns how long requests hold their slots on average, in milliseconds; `None` before
+    /// the first one ended.
+    #[must_use]
+    pub fn mean_held_ms(&self) -> Option<f64> {
+        self.held_ms
+    }
+
     /// Adds a request that has `remaining_ms` milliseconds until its latency objective, if
     /// it will probably get one of the node's `slots` and end by then. Returns how long it
     /// may wait, in milliseconds; `None` if it is to be refused.
--- a/crates/hemlockhitch_routing/src/selection/mod.rs
+++ b/crates/hemlockhitch_routing/src/selection/mod.rs
@@ -7,6 +7,9 @@
 //! get nothing, and those that are brittle no more than they have slots for.
 
 mod cost;
+mod probe;
+
+pub use probe::is_probe_worthwhile;
 
 use hemlockhitch_model::{DataCentreName, EndpointKey, Now, ServiceName, VersionName};
 
