--- a/crates/hemlockhitch_routing/tests/crash_tracker.rs
+++ b/crates/hemlockhitch_routing/tests/crash_tracker.rs
@@ -176,6 +176,20 @@
     assert_snapshot!(describe(&tracker), @"");
 }
 
+/// Guards against blocking a part for the number of endpoints that went down together: no
+/// request met two of them, and nothing with the part has been served since.
+#[test]
+fn endpoints_that_fail_within_3_ms_block_no_part_that_their_requests_share() {
+    let mut tracker = CrashTracker::default();
+    let requests = (0..6).map(|id| Request::new(id, &[1, 40 + id]));
+    for (index, request) in requests.enumerate() {
+        let instance = index as u64 % 5;
+        tracker.record_crash(request.traits(), instance, at(1_304 + index as u64 / 2));
+    }
+    assert_snapshot!(describe(&tracker), @"");
+    assert!(!tracker.is_blocked(Request::new(20, &[1, 60]).traits()));
+}
+
 /// Guards against counting responses that were lost, while the endpoints go on.
 #[test]
 fn endpoint_that_responds_right_after_a_disconnection_did_not_crash() {
