Judge prompt parts by independent crashes

Cause: crashes under a part were counted, so that endpoints that lose power together blocked every part that four of their requests shared. Change: crashes within 250 ms are one event unless a request met an earlier one. A part with four crashes, of which fewer than four are independent, is held back instead of blocked: its requests wait for the results of those that are under way, and few of them test it. Times before a node's start are kept, which grouping needs.

--- a/crates/hemlockhitch_routing/src/crash_tracker/mod.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/mod.rs
@@ -4,17 +4,23 @@
 //! by itself. Nodes share facts, and facts can be merged in any order and more than once:
 //! nodes that know the same facts block the same requests.
 
+mod records;
 mod suspect;
+mod suspicion;
 mod verdict;
 
 pub use suspect::{Aged, Crash, Evidence, Refutation, RequestTraits, Suspect};
+pub use suspicion::Admission;
 pub use verdict::{MAX_CRASHES, Verdict};
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use hemlockhitch_model::Now;
+use hemlockhitch_model::{Now, mix};
+use records::RecordedBlock;
+use suspicion::{Origin, Suspicion};
 
 use crate::gossip::{SharedFacts, TIME_ERROR_MS};
+use crate::limits::NodeShares;
 
 /// How long a crash counts against a request, in milliseconds.
 const REQUEST_RETENTION_MS: u64 = 60_000;
@@ -25,7 +31,7 @@
 
 /// How long a node remembers what it served, in milliseconds: longer than crashes take to
 /// reach the other nodes.
-const SERVED_RETENTION_MS: u64 = 10_000;
+const SERVED_RETENTION_MS: PastMs = 10_000;
 
 /// Number of crash records above which the oldest are dropped.
 const MAX_CRASH_RECORDS: usize = 2_048;
@@ -43,10 +49,14 @@
 /// Sequence number of facts that are not shared.
 const UNSHARED: u64 = 0;
 
+/// A time on the node's monotonic clock, in milliseconds. It is negative for what happened
+/// before the node started, which differs in time as well.
+type PastMs = i64;
+
 /// When a fact was observed, and in which order it became known to this node.
 #[derive(Clone, Copy, Debug)]
 struct Observed {
-    mono_ms: u64,
+    mono_ms: PastMs,
     sequence: u64,
     /// Whether this node observed it itself.
     is_own: bool,
@@ -57,9 +67,13 @@
 pub struct CrashTracker {
     crashes: BTreeMap<Crash, Observed>,
     refutations: BTreeMap<Refutation, Observed>,
-    served_mono_ms: HashMap<Suspect, u64>,
+    served_mono_ms: HashMap<Suspect, PastMs>,
     verdicts: Vec<Verdict>,
+    held: BTreeMap<Suspect, (Verdict, Suspicion)>,
+    /// What the store records and nothing has refuted.
+    recorded: BTreeMap<Suspect, RecordedBlock>,
     reported: BTreeSet<Suspect>,
+    reported_suspicions: BTreeSet<Suspect>,
     sequence: u64,
 }
 
@@ -77,6 +91,8 @@
 pub struct VerdictChanges {
     /// Newly blocked suspects.
     pub blocked: Vec<NewVerdict>,
+    /// Suspects that are newly held back, and tested by few requests.
+    pub suspected: Vec<Suspect>,
     /// Suspects that are no longer blocked.
     pub released: Vec<Suspect>,
 }
@@ -87,10 +103,10 @@
         self.record_disconnection(request, instance_hash, now);
         for suspect in request.suspects().filter(|suspect| suspect.is_part()) {
             let served_mono_ms = self.served_mono_ms.get(&suspect);
-            if served_mono_ms.is_some_and(|served| now.mono_ms <= *served + TIME_ERROR_MS) {
+            if served_mono_ms.is_some_and(|served| past(now) <= *served + time_error_ms()) {
                 continue;
             }
-            let observed = self.observe(now.mono_ms, true);
+            let observed = self.observe(past(now), true);
             let crash = request.crash(suspect, instance_hash);
             self.crashes.entry(crash).or_insert(observed);
         }
@@ -107,7 +123,7 @@
     ) {
         let suspect = Suspect::Request(request.fingerprint);
         let unshared = Observed {
-            mono_ms: now.mono_ms,
+            mono_ms: past(now),
             sequence: UNSHARED,
             is_own: true,
         };
@@ -132,12 +148,12 @@
     pub fn record_served(&mut self, request: RequestTraits<'_>, now: Now) {
         let mut is_refuting = false;
         for suspect in request.suspects() {
-            self.served_mono_ms.insert(suspect, now.mono_ms);
-            is_refuting |= self.refute(Refutation::Served(suspect), now.mono_ms);
+            self.served_mono_ms.insert(suspect, past(now));
+            is_refuting |= self.refute(Refutation::Served(suspect), past(now));
         }
         if self.served_mono_ms.len() > SERVED_SWEEP_SIZE {
             self.served_mono_ms
-                .retain(|_, at| now.mono_ms < *at + SERVED_RETENTION_MS);
+                .retain(|_, at| past(now) < *at + SERVED_RETENTION_MS);
         }
         if is_refuting {
             self.judge(now);
@@ -147,6 +163,7 @@
     /// Records that an instance responded to a request that was sent at `sent_mono_ms`. If
     /// it disconnected shortly before, it had not crashed.
     pub fn record_response(&mut self, instance_hash: u64, sent_mono_ms: u64, now: Now) {
+        let sent_mono_ms = signed(sent_mono_ms);
         let was_suspected = self.crashes.iter().any(|(crash, observed)| {
             let restart_mono_ms = observed.mono_ms + verdict::MIN_RESTART_MS;
             crash.instance_hash == instance_hash
@@ -163,6 +180,37 @@
         self.verdicts.iter().any(|verdict| verdict.blocks(&request))
     }
 
+    /// Decides whether a request may be sent to an endpoint now. `Allowed` may make it the
+    /// test of a suspect, so it is to be sent then.
+    pub fn admit(
+        &mut self,
+        request: RequestTraits<'_>,
+        nodes: NodeShares<'_>,
+        now: Now,
+    ) -> Admission {
+        if self.is_blocked(request) {
+            return Admission::Blocked;
+        }
+        let held = self.held.values_mut();
+        let held = held.map(|(verdict, suspicion)| (&*verdict, suspicion));
+        let recorded = self.recorded.values_mut();
+        let recorded = recorded.map(|block| (&block.verdict, &mut block.suspicion));
+        let suspicions = held.chain(recorded).filter(|(verdict, suspicion)| {
+            suspicion.is_active(past(now)) && verdict.blocks(&request)
+        });
+        let mut suspicions: Vec<_> = suspicions.collect();
+        let admits = |(verdict, suspicion): &(&Verdict, &mut Suspicion)| {
+            suspicion.admits(verdict.suspect.hash(), nodes, past(now))
+        };
+        if !suspicions.iter().all(admits) {
+            return Admission::Wait;
+        }
+        for (_, suspicion) in &mut suspicions {
+            suspicion.tested_mono_ms = Some(past(now));
+        }
+        Admission::Allowed
+    }
+
     /// Returns what is blocked.
     #[must_use]
     pub fn verdicts(&self) -> &[Verdict] {
@@ -182,11 +230,22 @@
             verdict: verdict.clone(),
             has_own_crash: self.has_own_crash(verdict.suspect),
         });
+        let suspected: BTreeSet<Suspect> = self
+            .held
+            .keys()
+            .chain(self.recorded.keys())
+            .copied()
+            .collect();
+        let new_suspicions = suspected.difference(&self.reported_suspicions).copied();
         let changes = VerdictChanges {
+            suspected: new_suspicions
+                .filter(|suspect| !current.contains(suspect))
+                .collect(),
             blocked: blocked.collect(),
             released: self.reported.difference(&current).copied().collect(),
         };
         self.reported = current;
+        self.reported_suspicions = suspected;
         changes
     }
 
@@ -202,10 +261,10 @@
         evidence
     }
 
-    fn merge_crash(&mut self, crash: Crash, at_mono_ms: u64, now: Now) {
+    fn merge_crash(&mut self, crash: Crash, at_mono_ms: PastMs, now: Now) {
         if let Some(known) = self.crashes.get_mut(&crash) {
             // The shorter way here gives the better time; a record in the store gives none.
-            if (at_mono_ms..=at_mono_ms + TIME_ERROR_MS).contains(&known.mono_ms) {
+            if (at_mono_ms..=at_mono_ms + time_error_ms()).contains(&known.mono_ms) {
                 known.mono_ms = at_mono_ms;
             }
             return;
@@ -216,13 +275,14 @@
         ];
         let is_refuted = refutations.iter().any(|refutation| {
             let known = self.refutations.get(refutation);
-            known.is_some_and(|known| at_mono_ms <= known.mono_ms + TIME_ERROR_MS)
+            known.is_some_and(|known| at_mono_ms <= known.mono_ms + time_error_ms())
         });
         if is_refuted || is_expired(&crash, at_mono_ms, now) {
             return;
         }
         let served_mono_ms = self.served_mono_ms.get(&crash.suspect).copied();
-        if let Some(served_mono_ms) = served_mono_ms.filter(|served| *served >= at_mono_ms) {
+        let is_recent = |served: &PastMs| *served + time_error_ms() >= at_mono_ms;
+        if let Some(served_mono_ms) = served_mono_ms.filter(is_recent) {
             // The node that reports the crash does not know.
             let observed = self.observe(served_mono_ms, true);
             let refutation = Refutation::Served(crash.suspect);
@@ -234,7 +294,7 @@
     }
 
     /// Records that what this node observed refutes crashes; returns whether there are any.
-    fn refute(&mut self, refutation: Refutation, at_mono_ms: u64) -> bool {
+    fn refute(&mut self, refutation: Refutation, at_mono_ms: PastMs) -> bool {
         let is_refuting = self.remove_refuted(refutation, at_mono_ms);
         if is_refuting {
             let observed = self.observe(at_mono_ms, true);
@@ -244,25 +304,29 @@
     }
 
     /// Applies a refutation by another node, unless a later one is known.
-    fn merge_refutation(&mut self, refutation: Refutation, at_mono_ms: u64) {
+    fn merge_refutation(&mut self, refutation: Refutation, at_mono_ms: PastMs) {
         let known = self.refutations.get(&refutation);
-        if known.is_some_and(|known| at_mono_ms <= known.mono_ms + TIME_ERROR_MS) {
+        if known.is_some_and(|known| at_mono_ms <= known.mono_ms + time_error_ms()) {
             return;
         }
-        self.remove_refuted(refutation, at_mono_ms + TIME_ERROR_MS);
+        self.remove_refuted(refutation, at_mono_ms + time_error_ms());
         let observed = self.observe(at_mono_ms, false);
         self.refutations.insert(refutation, observed);
     }
 
-    fn remove_refuted(&mut self, refutation: Refutation, until_mono_ms: u64) -> bool {
+    fn remove_refuted(&mut self, refutation: Refutation, until_mono_ms: PastMs) -> bool {
         let before = self.crashes.len();
         self.crashes.retain(|crash, observed| {
             !refutation.refutes(crash) || observed.mono_ms > until_mono_ms
         });
-        self.crashes.len() < before
+        let refutes_record = match refutation {
+            Refutation::Served(suspect) => self.recorded.remove(&suspect).is_some(),
+            Refutation::Alive(_) => false,
+        };
+        self.crashes.len() < before || refutes_record
     }
 
-    fn observe(&mut self, mono_ms: u64, is_own: bool) -> Observed {
+    fn observe(&mut self, mono_ms: PastMs, is_own: bool) -> Observed {
         self.sequence += 1;
         Observed {
             mono_ms,
@@ -283,13 +347,33 @@
             .retain(|crash, observed| !is_expired(crash, observed.mono_ms, now));
         drop_oldest(&mut self.crashes, MAX_CRASH_RECORDS);
         self.refutations
-            .retain(|_, observed| now.mono_ms < observed.mono_ms + PART_RETENTION_MS);
+            .retain(|_, observed| past(now) < observed.mono_ms + signed(PART_RETENTION_MS));
         drop_oldest(&mut self.refutations, MAX_REFUTATIONS);
         let crashes = self.crashes.iter();
-        let crashes: Vec<(Crash, u64)> = crashes
+        let crashes: Vec<(Crash, PastMs)> = crashes
             .map(|(crash, observed)| (*crash, observed.mono_ms))
             .collect();
-        self.verdicts = verdict::verdicts(&crashes);
+        let judgement = verdict::judge(&crashes);
+        self.verdicts = judgement.verdicts;
+        self.judge_records(now);
+        self.hold_back(judgement.held, now);
+    }
+
+    fn hold_back(&mut self, held: Vec<(Verdict, PastMs)>, now: Now) {
+        let mut before = std::mem::take(&mut self.held);
+        for (verdict, since_mono_ms) in held {
+            let tested_mono_ms = before
+                .remove(&verdict.suspect)
+                .and_then(|(_, suspicion)| suspicion.tested_mono_ms);
+            let suspicion = Suspicion {
+                origin: Origin::CommonCause,
+                since_mono_ms,
+                tested_mono_ms,
+            };
+            if suspicion.is_active(past(now)) {
+                self.held.insert(verdict.suspect, (verdict, suspicion));
+            }
+        }
     }
 }
 
@@ -310,17 +394,20 @@
     fn digest(&self) -> u64 {
         let shared = self.crashes.iter();
         let shared = shared.filter(|(_, observed)| observed.sequence != UNSHARED);
-        shared.fold(0, |digest, (crash, _)| digest ^ crash.hash())
+        let known = shared.fold(0, |digest, (crash, _)| digest ^ crash.hash());
+        // Nodes that know a refutation of a record hold other facts than this one.
+        let recorded = self.recorded.keys();
+        recorded.fold(known, |digest, suspect| digest ^ mix(suspect.hash(), 3))
     }
 
     fn merge(&mut self, evidence: &Evidence, now: Now) {
         let before = self.sequence;
         for refutation in &evidence.refutations {
-            let at_mono_ms = now.mono_ms.saturating_sub(refutation.age_ms);
+            let at_mono_ms = past(now) - signed(refutation.age_ms);
             self.merge_refutation(refutation.fact, at_mono_ms);
         }
         for crash in &evidence.crashes {
-            self.merge_crash(crash.fact, now.mono_ms.saturating_sub(crash.age_ms), now);
+            self.merge_crash(crash.fact, past(now) - signed(crash.age_ms), now);
         }
         if self.sequence > before {
             self.judge(now);
@@ -328,13 +415,28 @@
     }
 }
 
-fn is_expired(crash: &Crash, at_mono_ms: u64, now: Now) -> bool {
-    let retention_ms = if crash.suspect.is_part() {
+fn past(now: Now) -> PastMs {
+    signed(now.mono_ms)
+}
+
+fn signed(ms: u64) -> PastMs {
+    PastMs::try_from(ms).unwrap_or(PastMs::MAX / 2)
+}
+
+fn time_error_ms() -> PastMs {
+    signed(TIME_ERROR_MS)
+}
+
+fn is_expired(crash: &Crash, at_mono_ms: PastMs, now: Now) -> bool {
+    past(now) >= at_mono_ms + signed(retention_ms(crash.suspect))
+}
+
+fn retention_ms(suspect: Suspect) -> u64 {
+    if suspect.is_part() {
         PART_RETENTION_MS
     } else {
         REQUEST_RETENTION_MS
-    };
-    now.mono_ms >= at_mono_ms + retention_ms
+    }
 }
 
 fn aged_since<T: Copy>(facts: &BTreeMap<T, Observed>, sequence: u64, now: Now) -> Vec<Aged<T>> {
@@ -343,7 +445,7 @@
         .filter(|(_, observed)| observed.sequence > sequence);
     let aged = newer.map(|(fact, observed)| Aged {
         fact: *fact,
-        age_ms: now.mono_ms.saturating_sub(observed.mono_ms),
+        age_ms: u64::try_from(past(now) - observed.mono_ms).unwrap_or_default(),
     });
     aged.collect()
 }
@@ -352,7 +454,7 @@
     if facts.len() <= max_count {
         return;
     }
-    let mut times: Vec<u64> = facts.values().map(|observed| observed.mono_ms).collect();
+    let mut times: Vec<PastMs> = facts.values().map(|observed| observed.mono_ms).collect();
     times.sort_unstable();
     let cutoff_mono_ms = times[times.len() - max_count];
     facts.retain(|_, observed| observed.mono_ms >= cutoff_mono_ms);
--- a/crates/hemlockhitch_routing/src/crash_tracker/suspect.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/suspect.rs
@@ -23,7 +23,7 @@
         matches!(self, Self::PromptPart(_))
     }
 
-    fn hash(self) -> u64 {
+    pub(super) fn hash(self) -> u64 {
         match self {
             Self::Request(id) => mix(id, 1),
             Self::PromptPart(id) => mix(id, 2),
--- a/crates/hemlockhitch_routing/src/crash_tracker/verdict.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/verdict.rs
@@ -2,17 +2,34 @@
 //!
 //! It is made for endpoints that crash under one part of many requests: all requests at
 //! such an endpoint break with it, and those that are sent again meet the next one.
+//!
+//! It is also made for endpoints that go down together for another reason, as when a rack
+//! loses power, while many requests share a part. Such crashes are one independent event:
+//! nothing but the time connects them. A crash is independent of the earlier ones if it is
+//! separated from them in time, or if one of its requests had met an earlier one. A part
+//! whose independent crashes are too few is held back until it is known which case it is.
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::PastMs;
 use super::suspect::{Crash, RequestTraits, Suspect};
 
 /// Crashes that one request may cause before it is blocked.
 pub const MAX_CRASHES: usize = 2;
 
-/// Crashes under a prompt part at which it is blocked.
+/// Crashes under a prompt part at which it is held back, and independent ones at which it
+/// is blocked.
 const PART_CRASHES: usize = 4;
 
+/// Time within which crashes count as one event unless a request links them, in
+/// milliseconds: endpoints that lose power together were seen to end within 200 ms, and
+/// the times of other nodes are some tens of milliseconds off.
+const COMMON_CAUSE_MS: PastMs = 250;
+
+/// Shortest time between two crashes that a request links, in milliseconds. Copies of a
+/// request that are under way at once meet endpoints that go down together within less.
+const MIN_LINK_MS: PastMs = 10;
+
 /// Distinct requests that must have met them, because a single request is blocked by
 /// itself.
 const MIN_REQUESTS: usize = 2;
@@ -32,7 +49,7 @@
 
 /// Shortest time in which a crashed endpoint starts again, in milliseconds. Later
 /// disconnections of the same instance are another crash.
-pub(super) const MIN_RESTART_MS: u64 = 1_000;
+pub(super) const MIN_RESTART_MS: PastMs = 1_000;
 
 /// A request or prompt part that is sent to no endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,6 +63,16 @@
     pub crashes: usize,
 }
 
+/// What crashes show.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Judgement {
+    /// Suspects that are blocked.
+    pub verdicts: Vec<Verdict>,
+    /// Suspects whose independent crashes are too few, with the time in milliseconds since
+    /// which they are held back.
+    pub held: Vec<(Verdict, PastMs)>,
+}
+
 impl Verdict {
     pub(super) fn blocks(&self, request: &RequestTraits<'_>) -> bool {
         let is_together =
@@ -58,6 +85,9 @@
 /// One crash of an endpoint: the instance, and the number of its earlier crashes.
 type CrashEvent = (u64, usize);
 
+/// When each endpoint crashed, in milliseconds.
+type EventTimes = BTreeMap<CrashEvent, PastMs>;
+
 /// The crashes that a suspect met.
 #[derive(Clone, Debug, Default)]
 struct Record {
@@ -89,14 +119,14 @@
     }
 }
 
-/// Returns what is blocked, from all crashes in their order, with the time of each in
-/// milliseconds.
-pub(super) fn verdicts(crashes: &[(Crash, u64)]) -> Vec<Verdict> {
+/// Returns what is blocked and what is held back, from all crashes in their order, with the
+/// time of each in milliseconds.
+pub(super) fn judge(crashes: &[(Crash, PastMs)]) -> Judgement {
     // Most disconnections are single, so that nothing has to be compared.
     if !may_block(crashes) {
-        return Vec::new();
+        return Judgement::default();
     }
-    let records = records(crashes);
+    let (records, times) = records(crashes);
     let parts: BTreeMap<Suspect, &Record> = records
         .iter()
         .filter(|(suspect, record)| {
@@ -104,17 +134,64 @@
         })
         .map(|(suspect, record)| (*suspect, record))
         .collect();
-    let verdicts = records
-        .iter()
-        .filter_map(|(suspect, record)| match suspect {
-            Suspect::Request(fingerprint) => request_verdict(*fingerprint, record, &parts),
-            Suspect::PromptPart(_) => part_verdict(*suspect, record, &parts),
-        });
-    verdicts.collect()
+    let mut judgement = Judgement::default();
+    for (suspect, record) in &records {
+        match suspect {
+            Suspect::Request(fingerprint) => {
+                judgement
+                    .verdicts
+                    .extend(request_verdict(*fingerprint, record, &parts))
+            }
+            Suspect::PromptPart(_) => {
+                let Some((verdict, events)) = part_verdict(*suspect, record, &parts) else {
+                    continue;
+                };
+                let (independent, since_mono_ms) = independent_events(&events, record, &times);
+                if independent >= PART_CRASHES {
+                    judgement.verdicts.push(verdict);
+                } else {
+                    judgement.held.push((verdict, since_mono_ms));
+                }
+            }
+        }
+    }
+    judgement
+}
+
+/// Returns how many events are independent of the earlier ones, and the time of the last
+/// one that no request links to an earlier one.
+fn independent_events(
+    events: &BTreeSet<CrashEvent>,
+    record: &Record,
+    times: &EventTimes,
+) -> (usize, PastMs) {
+    let is_linked = |event: &CrashEvent| {
+        let mut requests = record.events_by_request.values();
+        requests.any(|met| {
+            met.contains(event)
+                && met
+                    .iter()
+                    .any(|earlier| times[earlier] + MIN_LINK_MS <= times[event])
+        })
+    };
+    let mut ordered: Vec<&CrashEvent> = events.iter().collect();
+    ordered.sort_by_key(|event| times[*event]);
+    let mut count = 0;
+    let mut group_mono_ms = None;
+    for event in ordered {
+        let mono_ms = times[event];
+        if is_linked(event) {
+            count += 1;
+        } else if group_mono_ms.is_none_or(|start| mono_ms >= start + COMMON_CAUSE_MS) {
+            count += 1;
+            group_mono_ms = Some(mono_ms);
+        }
+    }
+    (count, group_mono_ms.unwrap_or_default())
 }
 
 /// Returns whether a suspect met enough crashes to be blocked, whatever explains them.
-fn may_block(crashes: &[(Crash, u64)]) -> bool {
+fn may_block(crashes: &[(Crash, PastMs)]) -> bool {
     let by_suspect = crashes.chunk_by(|(a, _), (b, _)| a.suspect == b.suspect);
     by_suspect.into_iter().any(|crashes| {
         let is_part = crashes[0].0.suspect.is_part();
@@ -122,8 +199,8 @@
     })
 }
 
-fn records(crashes: &[(Crash, u64)]) -> BTreeMap<Suspect, Record> {
-    let mut times_by_instance: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
+fn records(crashes: &[(Crash, PastMs)]) -> (BTreeMap<Suspect, Record>, EventTimes) {
+    let mut times_by_instance: BTreeMap<u64, Vec<PastMs>> = BTreeMap::new();
     for (crash, mono_ms) in crashes {
         let times = times_by_instance.entry(crash.instance_hash).or_default();
         times.push(*mono_ms);
@@ -132,19 +209,24 @@
         times.sort_unstable();
     }
     let mut records: BTreeMap<Suspect, Record> = BTreeMap::new();
+    let mut times = EventTimes::new();
     for (crash, mono_ms) in crashes {
-        let times = &times_by_instance[&crash.instance_hash];
-        let gaps = times.windows(2).take_while(|pair| pair[1] <= *mono_ms);
+        let of_instance = &times_by_instance[&crash.instance_hash];
+        let gaps = of_instance
+            .windows(2)
+            .take_while(|pair| pair[1] <= *mono_ms);
         let restarts = gaps
             .filter(|pair| pair[1] - pair[0] >= MIN_RESTART_MS)
             .count();
         let event = (crash.instance_hash, restarts);
+        let time = times.entry(event).or_insert(*mono_ms);
+        *time = (*time).min(*mono_ms);
         let record = records.entry(crash.suspect).or_default();
         record.events.insert(event);
         let of_request = record.events_by_request.entry(crash.fingerprint);
         of_request.or_default().insert(event);
     }
-    records
+    (records, times)
 }
 
 fn request_verdict(
@@ -169,7 +251,7 @@
     suspect: Suspect,
     record: &Record,
     parts: &BTreeMap<Suspect, &Record>,
-) -> Option<Verdict> {
+) -> Option<(Verdict, BTreeSet<CrashEvent>)> {
     let crashes = record.events.len();
     let requests = record.events_by_request.len();
     if crashes < PART_CRASHES || requests < MIN_REQUESTS {
@@ -188,11 +270,12 @@
     if unexplained.len() < PART_CRASHES || unexplained_requests.count() < MIN_REQUESTS {
         return None;
     }
-    Some(Verdict {
+    let verdict = Verdict {
         suspect,
         alternatives: alternatives(suspect, record, parts),
         crashes: unexplained.len(),
-    })
+    };
+    Some((verdict, unexplained))
 }
 
 fn without_explained<'a>(
