--- a/crates/hemlockhitch_routing/src/crash_tracker/facts.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/facts.rs
@@ -13,6 +13,18 @@
 const SERVED_BEFORE_MS: PastMs = 500;
 
 impl CrashTracker {
+    /// Returns whether a refutation that this node knows shows that a crash does not count.
+    pub(super) fn is_known_refuted(&self, crash: &Crash, at_mono_ms: PastMs) -> bool {
+        let refutations = [
+            Refutation::Served(crash.suspect),
+            Refutation::Alive(crash.instance_hash),
+        ];
+        refutations.iter().any(|refutation| {
+            let known = self.refutations.get(refutation);
+            known.is_some_and(|known| at_mono_ms <= known.mono_ms + time_error_ms())
+        })
+    }
+
     fn merge_crash(&mut self, crash: Crash, at_mono_ms: PastMs, now: Now) {
         if let Some(known) = self.crashes.get_mut(&crash) {
             // The shorter way here gives the better time; a record in the store gives none.
@@ -21,26 +33,20 @@
             }
             return;
         }
-        let refutations = [
-            Refutation::Served(crash.suspect),
-            Refutation::Alive(crash.instance_hash),
-        ];
-        let is_refuted = refutations.iter().any(|refutation| {
-            let known = self.refutations.get(refutation);
-            known.is_some_and(|known| at_mono_ms <= known.mono_ms + time_error_ms())
-        });
-        if is_refuted || is_expired(&crash, at_mono_ms, now) {
+        if self.is_known_refuted(&crash, at_mono_ms) || is_expired(&crash, at_mono_ms, now) {
             return;
         }
         let served_mono_ms = self.served_mono_ms.get(&crash.suspect).copied();
         let is_recent = |served: &PastMs| *served + SERVED_BEFORE_MS >= at_mono_ms;
         if let Some(served_mono_ms) = served_mono_ms.filter(is_recent) {
             // The node that reports the crash does not know.
-            let observed = self.observe(served_mono_ms, true);
+            // Other nodes pass over a refutation that is hardly later than one they know.
+            let refuted_mono_ms = served_mono_ms.max(at_mono_ms);
+            let observed = self.observe(refuted_mono_ms, true);
             let refutation = Refutation::Served(crash.suspect);
             self.refutations.insert(refutation, observed);
             // As other nodes will, so that all keep the same crashes.
-            self.remove_refuted(refutation, served_mono_ms + time_error_ms());
+            self.remove_refuted(refutation, refuted_mono_ms + time_error_ms());
             return;
         }
         let observed = self.observe(at_mono_ms, false);
--- a/crates/hemlockhitch_routing/src/crash_tracker/mod.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/mod.rs
@@ -103,7 +103,10 @@
                 continue;
             }
             let crash = request.crash(suspect, instance_hash);
-            self.crashes.entry(crash).or_insert(unshared(at));
+            // Other nodes would drop it, and differ from this one for minutes.
+            if !self.is_known_refuted(&crash, past(at)) {
+                self.crashes.entry(crash).or_insert(unshared(at));
+            }
         }
         self.judge(at);
     }
