Refuse requests that were held back as not run if nothing was sent

Cause: a request that waited a second for the test of a suspect part got 502, which tells its caller that it may have run, although it had reached no endpoint. Change: it gets 503 with Retry-After; a blocked request still gets 502, so that callers do not send it again.

--- a/crates/hemlockhitch_gateway/src/attempt/hold.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/hold.rs
@@ -9,6 +9,7 @@
 
 use super::Gateway;
 use super::context::{AttemptHistory, RequestContext};
+use super::outcome::{RequestFailure, blocked, not_sent};
 use crate::dialect::Dialect;
 
 /// How long a request is held back before it is refused: within this time, some node has
@@ -20,26 +21,31 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 impl<D: Dialect, C: Clock> Gateway<D, C> {
-    /// Waits until a request may be sent to an endpoint; returns whether it may, or is
-    /// blocked.
-    pub(super) async fn is_admitted(
+    /// Waits until a request may be sent to an endpoint. It fails if it is blocked, and
+    /// after [`MAX_HOLD`]: as not run if nothing was sent, since callers may send it again.
+    pub(super) async fn wait_for_admission(
         &self,
         ctx: &RequestContext<D, C>,
         history: &mut AttemptHistory,
-    ) -> bool {
+    ) -> Result<(), RequestFailure> {
         // The next attempt may be the test of a suspect, which it would wait for.
         if history.is_admitted {
-            return !self.is_blocked(ctx);
+            return if self.is_blocked(ctx) {
+                Err(blocked(history))
+            } else {
+                Ok(())
+            };
         }
         let deadline = Instant::now() + MAX_HOLD;
         loop {
             match self.node_context.admit(ctx.traits()) {
                 Admission::Allowed => {
                     history.is_admitted = true;
-                    return true;
+                    return Ok(());
                 }
                 Admission::Wait if Instant::now() < deadline => sleep(CHECK_INTERVAL).await,
-                Admission::Wait | Admission::Blocked => return false,
+                Admission::Wait => return Err(not_sent(ctx.route.kind, history)),
+                Admission::Blocked => return Err(blocked(history)),
             }
         }
     }
--- a/crates/hemlockhitch_gateway/src/attempt/outcome.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/outcome.rs
@@ -1,7 +1,7 @@
 //! How a request ends whose attempts gave no response, and responses that were read in full.
 
 use hemlockhitch_model::Clock;
-use hemlockhitch_routing::retry::{Final, Seen, Verdict, decide_retry};
+use hemlockhitch_routing::retry::{Final, RouteKind, Seen, Verdict, decide_retry};
 use http::{Response, StatusCode};
 
 use super::Gateway;
@@ -43,14 +43,7 @@
             known,
             "no endpoint available"
         );
-        let outcome = match decide_retry(ctx.route.kind, Seen::NotSent, history.summary(false)) {
-            Verdict::End(outcome) => outcome,
-            Verdict::Again | Verdict::Resume => Final::Unknown,
-        };
-        RequestFailure {
-            outcome,
-            error_response: None,
-        }
+        not_sent(ctx.route.kind, history)
     }
 
     /// Builds the response to a request that failed.
@@ -110,6 +103,18 @@
     }
 }
 
+/// The failure of a request whose next attempt was not sent.
+pub(super) fn not_sent(kind: RouteKind, history: &AttemptHistory) -> RequestFailure {
+    let outcome = match decide_retry(kind, Seen::NotSent, history.summary(false)) {
+        Verdict::End(outcome) => outcome,
+        Verdict::Again | Verdict::Resume => Final::Unknown,
+    };
+    RequestFailure {
+        outcome,
+        error_response: None,
+    }
+}
+
 /// The failure of a request that is sent to no endpoint any more. It is not reported as
 /// "not run", since callers would send it again.
 pub(super) fn blocked(history: &AttemptHistory) -> RequestFailure {
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -10,7 +10,7 @@
 
 use super::Gateway;
 use super::context::{AttemptHistory, RequestContext};
-use super::outcome::{RequestFailure, blocked, buffered_response};
+use super::outcome::{RequestFailure, buffered_response};
 use super::relay;
 use super::response::ResponseBody;
 use super::send::{AcceptedResponse, AttemptFailure, OpenedResponse};
@@ -77,9 +77,7 @@
         history: &mut AttemptHistory,
     ) -> Result<OpenedResponse<D, C>, RequestFailure> {
         loop {
-            if !self.is_admitted(ctx, history).await {
-                return Err(blocked(history));
-            }
+            self.wait_for_admission(ctx, history).await?;
             if self.node_context.needs_helper(&ctx.service) {
                 match self.pass_once(ctx, history).await? {
                     Some(response) => return Ok(response),
