Tell the response to each request apart on connections between nodes

Cause: a node that passes a request takes whatever response comes next on the connection. A second, late copy of the response to an earlier request was given to the next caller, and a copy of a refusal with the same request id was taken for the refusal of a repetition that ran. Responses of endpoints carry the request's id and were checked already; surplus bytes on an idle connection close it.

Change: a passed request carries x-pass-id, a random number for each sending, which the response repeats; from builds that do not repeat it, the request's id in the relayed response is compared. No request is sent on a connection whose last request had the same id. Reports of endpoints, which carry no id, are asked for on a connection of their own. HH1277 logs a response that belongs to another request.

--- a/crates/hemlockhitch_gateway/src/attempt/pass/message.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/pass/message.rs
@@ -1,6 +1,6 @@
 //! What nodes add to a request that one passes to another, and to its response.
 
-use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
 
 /// Time that the helper has for the request, in milliseconds.
 const REMAINING_MS: HeaderName = HeaderName::from_static("x-pass-remaining-ms");
@@ -17,6 +17,11 @@
 /// Id of the last event that the caller has.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("x-pass-last-event-id");
 
+/// Number that the passing node gives the sending; the response repeats it, so that a
+/// surplus response on the connection is not taken for the one to a later request. Builds
+/// before it neither send nor repeat it.
+pub(super) const PASS_ID: HeaderName = HeaderName::from_static("x-pass-id");
+
 /// Set in a response if the request was sent to no endpoint, so that another helper may
 /// take it.
 pub(super) const NOT_TAKEN: HeaderName = HeaderName::from_static("x-pass-not-taken");
@@ -38,6 +43,8 @@
     pub(super) configuration_version: u64,
     /// Id of the last event that the caller has.
     pub(in super::super) last_event_id: Option<u64>,
+    /// Number that the response repeats.
+    pub(super) pass_id: Option<u64>,
 }
 
 impl PassedRequest {
@@ -49,6 +56,7 @@
             model_size: usize::try_from(take_number(headers, &MODEL_SIZE)?).ok()?,
             configuration_version: take_number(headers, &CONFIGURATION_VERSION)?,
             last_event_id: take_number(headers, &LAST_EVENT_ID),
+            pass_id: take_number(headers, &PASS_ID),
         })
     }
 
@@ -62,9 +70,15 @@
         if let Some(last_event_id) = self.last_event_id {
             headers.insert(LAST_EVENT_ID, HeaderValue::from(last_event_id));
         }
+        headers.remove(PASS_ID);
+        if let Some(pass_id) = self.pass_id {
+            headers.insert(PASS_ID, HeaderValue::from(pass_id));
+            // Makes builds that do not know the header remove it before an endpoint sees it.
+            headers.insert(CONNECTION, HeaderValue::from_name(PASS_ID));
+        }
     }
 }
 
-fn take_number(headers: &mut HeaderMap, name: &HeaderName) -> Option<u64> {
+pub(super) fn take_number(headers: &mut HeaderMap, name: &HeaderName) -> Option<u64> {
     headers.remove(name)?.to_str().ok()?.parse().ok()
 }
--- a/crates/hemlockhitch_gateway/src/attempt/pass/send.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/pass/send.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 use tokio::time::sleep;
 
-use super::message::{LEAVING, NOT_TAKEN, PassedRequest};
+use super::message::{LEAVING, NOT_TAKEN, PASS_ID, PassedRequest, take_number};
 use crate::attempt::Gateway;
 use crate::attempt::context::{AttemptHistory, RequestContext};
 use crate::attempt::headers::strip_hop_by_hop_headers;
@@ -75,12 +75,22 @@
             let Some(helper) = self.select_helper(ctx, draw as u64) else {
                 break;
             };
-            let Some(request) = self.build_passed_request(ctx, history) else {
+            let pass_id = fastrand::u64(..);
+            let Some(request) = self.build_passed_request(ctx, history, pass_id) else {
                 break;
             };
             telemetry::count_pass();
             history.start_attempt();
-            match self.send_to_helper(helper, request).await {
+            let mut sent = self.send_to_helper(helper, request, pass_id).await;
+            if let Ok((response, _)) = &mut sent
+                && !self.belongs_to_pass(ctx, response, pass_id)
+            {
+                let request = &ctx.metadata.request_id;
+                tracing::info!(event = "HH1277", request, %helper, "node sent the response to another request");
+                self.record_helper(ctx, helper, false);
+                return Err(Seen::Spoilt.into());
+            }
+            match sent {
                 Ok((response, _)) if response.headers().contains_key(NOT_TAKEN) => {
                     history.withdraw_attempt();
                 }
@@ -102,15 +112,39 @@
         Err(Seen::NotSent.into())
     }
 
+    /// Returns whether a helper's response is the one to this sending. A node of a build that
+    /// does not repeat the number relays the endpoint's response with the request's id.
+    fn belongs_to_pass(
+        &self,
+        ctx: &RequestContext<D, C>,
+        response: &mut Response<Incoming>,
+        pass_id: u64,
+    ) -> bool {
+        if response.headers().contains_key(PASS_ID) {
+            return take_number(response.headers_mut(), &PASS_ID) == Some(pass_id);
+        }
+        let status = response.status();
+        let dialect = self.node_context.dialect();
+        match dialect
+            .parse_response(status, response.headers())
+            .request_id
+        {
+            Some(request_id) => request_id == ctx.metadata.request_id,
+            // A refusal by the node itself.
+            None => !status.is_success(),
+        }
+    }
+
     /// Sends a request to a helper; fails as well if the helper stops taking connections
     /// before its response begins.
     async fn send_to_helper(
         &self,
         helper: SocketAddr,
         request: Request<Full<Bytes>>,
+        pass_id: u64,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let pool = self.node_context.connection_pool();
-        let sending = pool.send(Remote::Node(helper), helper, request);
+        let sending = pool.send(Remote::Node(helper), helper, request, pass_id);
         let lost = async {
             loop {
                 sleep(Duration::from_millis(SILENCE_MS)).await;
@@ -159,6 +193,7 @@
         &self,
         ctx: &RequestContext<D, C>,
         history: &AttemptHistory,
+        pass_id: u64,
     ) -> Option<Request<Full<Bytes>>> {
         let mut headers = ctx.head.headers.clone();
         strip_hop_by_hop_headers(&mut headers);
@@ -168,6 +203,7 @@
             model_size: history.model_size,
             configuration_version: self.configuration_version(),
             last_event_id: history.last_event_id,
+            pass_id: Some(pass_id),
         };
         passed.write(&mut headers);
         let path = ctx.head.uri.path_and_query()?.clone();
--- a/crates/hemlockhitch_gateway/src/attempt/pass/serve.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/pass/serve.rs
@@ -5,7 +5,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use super::message::{LEAVING, NOT_TAKEN, PassedRequest};
+use super::message::{LEAVING, NOT_TAKEN, PASS_ID, PassedRequest};
 use crate::attempt::Gateway;
 use crate::attempt::response::{Refusal, ResponseBody};
 use crate::dialect::Dialect;
@@ -25,12 +25,19 @@
             let message = "not a request of another node; use the address for callers";
             return Refusal::new(StatusCode::BAD_REQUEST, message).into_response();
         };
-        if !takes_requests || self.configuration_version() < passed.configuration_version {
-            return not_taken("the node cannot take the request; pass it to another one");
+        let is_behind = self.configuration_version() < passed.configuration_version;
+        let mut response = if !takes_requests || is_behind {
+            not_taken("the node cannot take the request; pass it to another one")
+        } else {
+            let admission = self.admit(request, Some(passed)).await;
+            let mut response = self.handle_admitted(admission).await;
+            self.name_leaving(response.headers_mut());
+            response
+        };
+        if let Some(pass_id) = passed.pass_id {
+            let pass_id = HeaderValue::from(pass_id);
+            response.headers_mut().insert(PASS_ID, pass_id);
         }
-        let admission = self.admit(request, Some(passed)).await;
-        let mut response = self.handle_admitted(admission).await;
-        self.name_leaving(response.headers_mut());
         response
     }
 
--- a/crates/hemlockhitch_gateway/src/attempt/pending.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/pending.rs
@@ -38,11 +38,12 @@
         endpoint: EndpointKey,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        request_hash: u64,
     ) -> Self {
         let context = node_context.clone();
         let sending = tokio::spawn(async move {
             let pool = context.connection_pool();
-            pool.send(Remote::Endpoint(endpoint), address, request)
+            pool.send(Remote::Endpoint(endpoint), address, request, request_hash)
                 .await
         });
         Self {
--- a/crates/hemlockhitch_gateway/src/attempt/send.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/send.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hemlockhitch_model::Clock;
+use hemlockhitch_routing::hash_bytes;
 use hemlockhitch_routing::reach::{SILENCE_MS, Suspicion};
 use hemlockhitch_routing::retry::Seen;
 use http::{Request, Response, StatusCode, Uri};
@@ -80,8 +81,14 @@
         let Some(request) = self.build_request(ctx, history, &slot) else {
             return (Err(Seen::NotSent.into()), Some(slot));
         };
-        let pending =
-            PendingResponse::send(&self.node_context, slot.endpoint, slot.address, request);
+        let request_hash = hash_bytes(&ctx.metadata.request_id);
+        let pending = PendingResponse::send(
+            &self.node_context,
+            slot.endpoint,
+            slot.address,
+            request,
+            request_hash,
+        );
         let sending = self.suspect_on_silence(ctx, pending.wait());
         match timeout(response_timeout, sending).await {
             Err(_) => (Err(Seen::Silent.into()), Some(slot)),
--- a/crates/hemlockhitch_gateway/src/connection/mod.rs
+++ b/crates/hemlockhitch_gateway/src/connection/mod.rs
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     remote: Remote,
+    /// Hash of the id of the last request that was sent on it.
+    last_request: u64,
     sender: SendRequest<Full<Bytes>>,
     _task: TaskGuard,
 }
@@ -90,15 +92,21 @@
     }
 
     /// Sends a request over a pooled or a new connection, and returns once the response
-    /// head has arrived.
+    /// head has arrived. `request_hash` is the hash of the id that the response repeats.
+    ///
+    /// The other end may send a surplus response late, so that it looks like the response to
+    /// the next request on the connection. Callers tell it by its id, and no request is sent
+    /// on a connection whose last request had the same id.
     pub(crate) async fn send(
         &self,
         remote: Remote,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        request_hash: u64,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let mut request = request;
-        while let Some(mut connection) = self.take_idle(remote) {
+        while let Some(mut connection) = self.take_idle(remote, request_hash) {
+            connection.last_request = request_hash;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -107,11 +115,24 @@
                 },
             }
         }
+        self.send_on_new(remote, address, request, request_hash)
+            .await
+    }
+
+    /// Sends a request over a new connection, for a response that repeats no id.
+    pub(crate) async fn send_on_new(
+        &self,
+        remote: Remote,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        request_hash: u64,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
         let source_address = match remote {
             Remote::Endpoint(_) => self.source_address,
             Remote::Node(_) => None,
         };
         let mut connection = open::open(remote, address, source_address).await?;
+        connection.last_request = request_hash;
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => Err(match error.take_message() {
@@ -156,15 +177,15 @@
         idle.remove(&Remote::Endpoint(endpoint));
     }
 
-    /// Takes the most recently used idle connection.
-    fn take_idle(&self, remote: Remote) -> Option<Connection> {
+    /// Takes the most recently used idle connection whose last request was another one.
+    fn take_idle(&self, remote: Remote, request_hash: u64) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let pooled = idle.get_mut(&remote)?;
         pooled.retain(|idle| now < idle.expires_at && !idle.connection.sender.is_closed());
-        let ready = pooled
-            .iter()
-            .rposition(|idle| idle.connection.sender.is_ready())?;
+        let ready = pooled.iter().rposition(|idle| {
+            idle.connection.sender.is_ready() && idle.connection.last_request != request_hash
+        })?;
         Some(pooled.remove(ready).connection)
     }
 }
--- a/crates/hemlockhitch_gateway/src/connection/open.rs
+++ b/crates/hemlockhitch_gateway/src/connection/open.rs
@@ -52,6 +52,7 @@
     telemetry::count_connection_opened();
     Ok(Connection {
         remote,
+        last_request: 0,
         sender,
         _task: TaskGuard(task.abort_handle()),
     })
--- a/crates/hemlockhitch_gateway/src/controller/reports.rs
+++ b/crates/hemlockhitch_gateway/src/controller/reports.rs
@@ -76,9 +76,10 @@
     let host = address.to_string().parse().ok()?;
     request.headers_mut().insert(http::header::HOST, host);
     let query = async {
+        // A report repeats no id, so that a late copy of an earlier one cannot be told from it.
         let (response, connection) = node_context
             .connection_pool()
-            .send(Remote::Endpoint(endpoint), address, request)
+            .send_on_new(Remote::Endpoint(endpoint), address, request, 0)
             .await
             .ok()?;
         let metadata = node_context
