Answer every request that a stopping gateway has read

Cause: at the end of the load balancer's lag the listener was dropped with the connections in its queue, which resets them; connections that were taken but not read yet were closed as idle; and the process ended when no request was admitted, although bodies were still arriving and responses were not yet written.

Passed requests are waited for too; the feed's calls are not.

--- a/crates/hemlockhitch/src/gateway/mod.rs
+++ b/crates/hemlockhitch/src/gateway/mod.rs
@@ -7,7 +7,7 @@
 use hemlockhitch_adapter::{PlatformDialect, PlatformStore};
 use hemlockhitch_config::settings::GatewayFile;
 use hemlockhitch_gateway::{
-    Gateway, Listener, NodeContext, Readiness, exchange_facts, follow_store, register_node,
+    Drain, Gateway, Listener, NodeContext, Readiness, exchange_facts, follow_store, register_node,
     report_gauges, run_roll_out_controller,
 };
 use hemlockhitch_http::server::ApiServer;
@@ -28,7 +28,7 @@
 /// A running gateway.
 pub struct GatewayNode {
     file: GatewayFile,
-    listener: Listener<PlatformDialect, BootClock>,
+    drain: Drain,
     readiness: Readiness<PlatformDialect, BootClock>,
     metrics: ApiServer,
     background: Vec<JoinHandle<()>>,
@@ -51,17 +51,22 @@
         let readiness = Readiness::new(node_context.clone());
         let gateway = Gateway::new(node_context.clone());
         let listen = file.listen;
-        let listener = Listener::start(listen.callers, gateway.clone())
+        let drain = Drain::default();
+        let listener = Listener::start(listen.callers, gateway.clone(), drain.clone())
             .await
             .map_err(|error| NodeError::listen(listen.callers, &error))?;
         let readiness_address =
             hemlockhitch_gateway::serve_readiness(listen.readiness, readiness.clone())
                 .await
                 .map_err(|error| NodeError::listen(listen.readiness, &error))?;
-        let feed_address =
-            hemlockhitch_gateway::serve_peers(listen.peers, gateway, readiness.clone())
-                .await
-                .map_err(|error| NodeError::listen(listen.peers, &error))?;
+        let feed_address = hemlockhitch_gateway::serve_peers(
+            listen.peers,
+            gateway,
+            readiness.clone(),
+            drain.clone(),
+        )
+        .await
+        .map_err(|error| NodeError::listen(listen.peers, &error))?;
         let metrics = ApiServer::start(listen.metrics, metrics_page::routes())
             .await
             .map_err(|error| NodeError::new(NodeErrorKind::Listen, error.to_string()))?;
@@ -87,7 +92,7 @@
         );
         Ok(Self {
             file,
-            listener,
+            drain,
             readiness,
             metrics,
             background,
@@ -117,13 +122,13 @@
     pub async fn stop(self) {
         let started = Instant::now();
         self.readiness.stop();
-        self.listener.close_connections();
+        self.drain.close_connections();
         tracing::info!(event = "HH0924", node = %self.file.node.name, "gateway stopping");
         sleep(BALANCER_LAG).await;
         let limit = derived::grace_period(&self.file)
             .saturating_sub(Duration::from_millis(STOP_MARGIN_MS))
             .saturating_sub(started.elapsed());
-        let left = self.listener.stop(limit).await;
+        let left = self.drain.stop(limit).await;
         for task in &self.background {
             task.abort();
         }
--- a/crates/hemlockhitch_gateway/src/lib.rs
+++ b/crates/hemlockhitch_gateway/src/lib.rs
@@ -34,7 +34,7 @@
 };
 pub use feed::follow_store;
 pub use gossip::exchange_facts;
-pub use listener::{Listener, Readiness, serve_readiness};
+pub use listener::{Drain, Listener, Readiness, serve_readiness};
 pub use membership::register_node;
 pub use peer::{Applied, Mirror, serve_peers};
 pub use settings::GatewaySettings;
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use hemlockhitch_model::{Clock, Now, StorePosition};
@@ -11,6 +11,7 @@
 use hemlockhitch_routing::fleet::Outstanding;
 use hemlockhitch_routing::limits::ByteBudget;
 use http::Version;
+use http::header::{CONNECTION, HeaderValue};
 use http_body_util::Either;
 use hyper::body::Incoming;
 use hyper::service::{Service, service_fn};
@@ -18,7 +19,7 @@
 use hyper_util::server::conn::auto;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use tonic::body::Body;
 use tonic::{Request, Response, Status};
 
@@ -26,7 +27,7 @@
 use crate::attempt::{Gateway, ResponseBody};
 use crate::connection;
 use crate::dialect::Dialect;
-use crate::listener::Readiness;
+use crate::listener::{Drain, Readiness};
 use crate::state::NodeContext;
 use crate::wire;
 use crate::wire::feed_server::{Feed, FeedServer};
@@ -51,7 +52,8 @@
     complete_replies: Mutex<ByteBudget>,
 }
 
-/// Serves the feed and requests that other nodes pass on `address`, in the background.
+/// Serves the feed and requests that other nodes pass on `address`, in the background, until
+/// `drain` stops it.
 ///
 /// # Errors
 ///
@@ -60,6 +62,7 @@
     address: SocketAddr,
     gateway: Gateway<D, C>,
     readiness: Readiness<D, C>,
+    drain: Drain,
 ) -> io::Result<SocketAddr> {
     let node_context = gateway.node_context().clone();
     let listener = TcpListener::bind(address).await?;
@@ -75,17 +78,16 @@
         readiness,
     };
     tokio::spawn(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(serve_connection(stream, peer_service.clone()));
-                }
-                Err(error) => {
-                    tracing::warn!(event = "HH1260", %error, "failed to accept a peer's connection");
-                    sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-        }
+        let serve = |stream| {
+            let connection = serve_connection(stream, peer_service.clone(), drain.clone());
+            tokio::spawn(connection);
+        };
+        let on_error = |error: &io::Error| {
+            tracing::warn!(event = "HH1260", %error, "failed to accept a peer's connection");
+        };
+        drain
+            .accept(listener, ACCEPT_RETRY_DELAY, on_error, serve)
+            .await;
     });
     Ok(address)
 }
@@ -93,15 +95,31 @@
 async fn serve_connection<D: Dialect, C: Clock>(
     stream: TcpStream,
     peer_service: PeerService<D, C>,
+    drain: Drain,
 ) {
     if let Err(error) = connection::configure_socket(&stream) {
         tracing::debug!(event = "HH1262", %error, "failed to configure a peer's connection");
         return;
     }
-    let service = service_fn(move |request| peer_service.clone().handle(request));
-    let served = auto::Builder::new(TokioExecutor::new())
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    // The feed's calls wait for news; a stopping node waits for passed requests alone.
+    let passed = OnceLock::new();
+    let service = service_fn(|request: http::Request<Incoming>| {
+        if request.version() != Version::HTTP_2 {
+            passed.get_or_init(|| drain.track());
+        }
+        peer_service.clone().handle(request, drain.is_closing())
+    });
+    let builder = auto::Builder::new(TokioExecutor::new());
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let served = tokio::select! {
+        biased;
+        served = connection.as_mut() => served,
+        () = drain.wait_for_shutdown() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(error) = served {
         tracing::debug!(event = "HH1263", %error, "peer's connection failed");
     }
@@ -129,13 +147,18 @@
     async fn handle(
         self,
         request: http::Request<Incoming>,
+        is_closing: bool,
     ) -> Result<http::Response<Either<Body, ResponseBody>>, Infallible> {
         if request.version() == Version::HTTP_2 {
             let response = TowerToHyperService::new(self.feed).call(request).await?;
             return Ok(response.map(Either::Left));
         }
         let is_ready = self.readiness.is_ready();
-        let response = self.gateway.handle_passed(request, is_ready).await;
+        let mut response = self.gateway.handle_passed(request, is_ready).await;
+        if is_closing {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
         Ok(response.map(Either::Right))
     }
 }
