Ask other nodes before the store when a node starts without knowledge

Cause: a node that starts after the store has returned from an older copy and that ranks first (in its data centre, with no hub ahead of it) listed the store itself. It accepted API keys that had been withdrawn, and sent requests to an endpoint that had left, until the operator wrote again. The others keep what they know.

Departures are remembered by instance instead of by name. source.rs becomes source/mod.rs with source/start.rs; the simulation in tests/source.rs knows that such calls do not wait.

Not covered: a copy that is older than the registrations of all nodes, where a starting node finds none of them (docs/design/platform.md).

--- a/crates/hemlockhitch_gateway/src/feed/apply.rs
+++ b/crates/hemlockhitch_gateway/src/feed/apply.rs
@@ -77,7 +77,8 @@
         (Subject::Endpoint(_), StoredValue::Endpoint(entry)) => {
             let name = entry.name.clone();
             let draining = entry.draining;
-            if provenance == Provenance::Restored && state.fleet.is_outdated(&entry, now) {
+            let may_be_outdated = provenance != Provenance::Live;
+            if may_be_outdated && state.fleet.is_outdated(&entry, now) {
                 tracing::info!(event = "HH1217", %name, "restored registration of an endpoint that was gone ignored");
                 return;
             }
--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -85,7 +85,13 @@
         };
         match source {
             Source::Store => self.ask_store(sent).await,
-            Source::Peer { address, is_local } => self.ask_peer(&address, is_local, sent).await,
+            Source::Peer {
+                address,
+                is_local,
+                is_immediate,
+            } => {
+                self.ask_peer(&address, is_local, is_immediate, sent).await;
+            }
             Source::Wait(wait_ms) => sleep(Duration::from_millis(wait_ms)).await,
         }
     }
@@ -119,10 +125,11 @@
         }
     }
 
-    async fn ask_peer(&mut self, address: &str, is_local: bool, sent: Now) {
+    async fn ask_peer(&mut self, address: &str, is_local: bool, is_immediate: bool, sent: Now) {
         let position = self.node_context.mirror().position();
         let settings = self.node_context.settings();
         let watch_ms = match (self.selector.is_searching(), is_local) {
+            _ if is_immediate => 0,
             (true, _) if position.revision > 0 => 0,
             (_, true) => settings.peer_watch_ms,
             (_, false) => REMOTE_WATCH_MS,
@@ -169,6 +176,11 @@
             self.node_context.set_peer_loads(&reply.loads);
         }
         self.node_context.merge_leaving(&reply.leaving);
+        let now = self.node_context.now();
+        self.node_context
+            .state()
+            .fleet
+            .merge_removed(reply.removed, now);
         self.store.observe_epoch(reply.batch.epoch);
         let confirmed = Now {
             mono_ms: sent.mono_ms.saturating_sub(reply.age_ms),
--- a/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
+++ b/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
@@ -44,6 +44,18 @@
     /// Hashes of the endpoint instances that the replying node knows to be leaving.
     #[prost(fixed64, repeated, tag = "8")]
     pub leaving: ::prost::alloc::vec::Vec<u64>,
+    /// Endpoint instances that were removed recently, in a reply that holds every entry: a
+    /// store that returned from an older copy may list them.
+    #[prost(message, repeated, tag = "15")]
+    pub removed: ::prost::alloc::vec::Vec<RemovedInstance>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RemovedInstance {
+    #[prost(fixed64, tag = "1")]
+    pub instance_hash: u64,
+    /// Time since the removal.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EndpointLoad {
--- a/crates/hemlockhitch_gateway/src/peer/client.rs
+++ b/crates/hemlockhitch_gateway/src/peer/client.rs
@@ -44,6 +44,9 @@
     pub(crate) loads: EndpointLoads,
     /// Hashes of the endpoint instances that are leaving.
     pub(crate) leaving: Vec<u64>,
+    /// Hashes of the endpoint instances that were removed recently, with the time since
+    /// then in milliseconds.
+    pub(crate) removed: Vec<(u64, u64)>,
 }
 
 /// Channels to the nodes that were called, by address.
@@ -125,6 +128,8 @@
         value: entry.value,
         version: entry.version,
     });
+    let removed = reply.removed.into_iter();
+    let removed = removed.map(|removed| (removed.instance_hash, removed.age_ms.into()));
     FeedReply {
         batch: WatchBatch {
             written: written.collect(),
@@ -136,5 +141,6 @@
         age_ms: reply.age_ms,
         loads: super::server::loads_from_wire(reply.loads),
         leaving: reply.leaving,
+        removed: removed.collect(),
     }
 }
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -196,7 +196,14 @@
         }
         let loads = self.node_context.loads_except(&request.node);
         let leaving = self.node_context.leaving();
-        Ok(Response::new(write_reply(batch, age_ms, &loads, leaving)))
+        let removed = if batch.complete {
+            self.node_context.state().fleet.removed(now)
+        } else {
+            Vec::new()
+        };
+        let mut reply = write_reply(batch, age_ms, &loads, leaving);
+        reply.removed = removed_to_wire(removed);
+        Ok(Response::new(reply))
     }
 
     async fn exchange(
@@ -241,9 +248,19 @@
         loads: loads_to_wire(loads),
         epoch: batch.epoch,
         leaving,
+        removed: Vec::new(),
     }
 }
 
+fn removed_to_wire(removed: Vec<(u64, u64)>) -> Vec<wire::RemovedInstance> {
+    let removed = removed.into_iter();
+    let removed = removed.map(|(instance_hash, age_ms)| wire::RemovedInstance {
+        instance_hash,
+        age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+    });
+    removed.collect()
+}
+
 /// Encodes loads for the feed.
 pub(crate) fn loads_to_wire(loads: &EndpointLoads) -> Vec<wire::EndpointLoad> {
     let loads = loads
--- a/crates/hemlockhitch_routing/src/fleet/departure.rs
+++ b/crates/hemlockhitch_routing/src/fleet/departure.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 
-use hemlockhitch_model::{EndpointName, Now};
+use hemlockhitch_model::Now;
 
 use super::EndpointEntry;
 
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Departures {
     leaving_since_mono_ms: HashMap<u64, u64>,
-    removed: HashMap<EndpointName, (u64, u64)>,
+    removed_mono_ms: HashMap<u64, u64>,
 }
 
 impl Departures {
@@ -40,19 +40,30 @@
         self.leaving_since_mono_ms.contains_key(&instance_hash)
     }
 
-    /// Records that the registration of an instance was removed.
-    pub(super) fn record_removed(&mut self, entry: &EndpointEntry, now: Now) {
-        drop_oldest(&mut self.removed, |(_, at)| *at);
-        let removed = (entry.instance_hash(), now.mono_ms);
-        self.removed.insert(entry.name.clone(), removed);
+    /// Records that the registration of an instance was removed `age_ms` ago.
+    pub(super) fn record_removed(&mut self, instance_hash: u64, age_ms: u64, now: Now) {
+        let at_mono_ms = now.mono_ms.saturating_sub(age_ms);
+        let known = self.removed_mono_ms.get(&instance_hash).copied();
+        if known.is_none() {
+            drop_oldest(&mut self.removed_mono_ms, |at| *at);
+        }
+        let latest = known.map_or(at_mono_ms, |known| known.max(at_mono_ms));
+        self.removed_mono_ms.insert(instance_hash, latest);
     }
 
     /// Returns whether a registration that the store restored belongs to an instance
     /// that was removed recently.
     pub(super) fn was_removed(&self, entry: &EndpointEntry, now: Now) -> bool {
-        self.removed.get(&entry.name).is_some_and(|(hash, at)| {
-            *hash == entry.instance_hash() && now.mono_ms < at + RESTORED_IGNORED_MS
-        })
+        let removed = self.removed_mono_ms.get(&entry.instance_hash());
+        removed.is_some_and(|at| now.mono_ms < at + RESTORED_IGNORED_MS)
+    }
+
+    /// Returns the instances whose restored registrations are ignored, by their hashes, with
+    /// the time since their removal in milliseconds.
+    pub(super) fn removed(&self, now: Now) -> impl Iterator<Item = (u64, u64)> {
+        let removed = self.removed_mono_ms.iter();
+        let removed = removed.map(move |(hash, at)| (*hash, now.mono_ms.saturating_sub(*at)));
+        removed.filter(|(_, age_ms)| *age_ms < RESTORED_IGNORED_MS)
     }
 }
 
--- a/crates/hemlockhitch_routing/src/fleet/mod.rs
+++ b/crates/hemlockhitch_routing/src/fleet/mod.rs
@@ -60,7 +60,8 @@
     pub fn remove(&mut self, name: &EndpointName, now: Now) -> Option<EndpointKey> {
         let key = self.key_by_name.get(name).copied()?;
         if let Some(endpoint) = self.remove_key(key) {
-            self.departures.record_removed(&endpoint.entry, now);
+            self.departures
+                .record_removed(endpoint.instance_hash, 0, now);
             self.retired.retire(key, endpoint, now);
         }
         Some(key)
@@ -77,6 +78,27 @@
         was_replaced || self.departures.was_removed(restored, now)
     }
 
+    /// Returns the instances that were removed recently and are not registered again, by
+    /// their hashes, with the time since their removal in milliseconds.
+    #[must_use]
+    pub fn removed(&self, now: Now) -> Vec<(u64, u64)> {
+        let mut removed: HashMap<u64, u64> = self.departures.removed(now).collect();
+        if !removed.is_empty() {
+            for endpoint in self.endpoints.values() {
+                removed.remove(&endpoint.instance_hash);
+            }
+        }
+        removed.into_iter().collect()
+    }
+
+    /// Records the instances that another node knows to have been removed, as
+    /// [`removed`](Self::removed) returns them.
+    pub fn merge_removed(&mut self, removed: impl IntoIterator<Item = (u64, u64)>, now: Now) {
+        for (instance_hash, age_ms) in removed {
+            self.departures.record_removed(instance_hash, age_ms, now);
+        }
+    }
+
     /// Records that an endpoint has stated that it is leaving; returns whether that was
     /// not known. It gets no new requests until another instance takes its place.
     pub fn record_leaving(&mut self, key: EndpointKey, now: Now) -> bool {
--- a/crates/hemlockhitch_routing/src/source.rs
+++ b/crates/hemlockhitch_routing/src/source/mod.rs
@@ -7,10 +7,13 @@
 //! to a hub, its deputies, replace it. Other nodes ask a hub of another data centre, and
 //! the store only before their knowledge is too old to serve requests.
 
+mod start;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 
 use hemlockhitch_model::{Now, hash_bytes, mix};
+use start::StartSources;
 
 /// Number of nodes of a data centre that ask the store as soon as every node ranked
 /// before them has failed.
@@ -100,6 +103,8 @@
         address: String,
         /// Whether the node belongs to the same data centre.
         is_local: bool,
+        /// Whether the node is to reply at once, with what it knows.
+        is_immediate: bool,
     },
     /// Nothing for this time, in milliseconds.
     Wait(u64),
@@ -126,6 +131,7 @@
     store_fallback_until_mono_ms: u64,
     failures_in_a_row: u32,
     unreachable_in_a_row: u32,
+    start_sources: StartSources,
 }
 
 impl SourceSelector {
@@ -144,6 +150,7 @@
             store_fallback_until_mono_ms: 0,
             failures_in_a_row: 0,
             unreachable_in_a_row: 0,
+            start_sources: StartSources::default(),
         }
     }
 
@@ -164,6 +171,12 @@
             .filter(|node| node.name != self.node)
             .partition(|node| node.data_centre == self.data_centre);
         let hubs = hubs_of(remote);
+        let has_knowledge = age_ms.is_some();
+        let mut others = if has_knowledge {
+            Vec::new()
+        } else {
+            local.clone()
+        };
         let local_ahead = self.ranked_ahead(local);
         let rank = local_ahead.len();
         self.rank = rank;
@@ -179,10 +192,27 @@
             .take(MAX_CANDIDATES)
             .collect();
         if let Some(peer) = self.first_ready(candidates.iter().copied(), now) {
+            if !has_knowledge {
+                self.start_sources.record(peer.address);
+            }
             return peer_source(peer, !is_hub);
         }
-        let is_patient = age_ms.is_none() && now.mono_ms < self.start_patience_end_mono_ms(rank);
+        let patience_end_mono_ms = self.start_patience_end_mono_ms(rank);
+        let is_patient = !has_knowledge && now.mono_ms < patience_end_mono_ms;
         let may_ask_store = may_ask_store && !is_patient;
+        if may_ask_store && !has_knowledge {
+            others.sort_by_key(FollowableNode::rank_key);
+            let hubs = self.shuffled(hubs.clone());
+            let since_due_ms = now.mono_ms.saturating_sub(patience_end_mono_ms);
+            if let Some(peer) = self.start_sources.next(&others, &hubs, since_due_ms) {
+                self.start_sources.record(peer.address);
+                return Source::Peer {
+                    address: peer.address.to_owned(),
+                    is_local: peer.data_centre == self.data_centre,
+                    is_immediate: true,
+                };
+            }
+        }
         if rank < DEPUTY_COUNT && may_ask_store {
             return Source::Store;
         }
@@ -345,5 +375,6 @@
     Source::Peer {
         address: node.address.to_owned(),
         is_local,
+        is_immediate: false,
     }
 }
--- a/crates/hemlockhitch_routing/tests/source.rs
+++ b/crates/hemlockhitch_routing/tests/source.rs
@@ -99,9 +99,17 @@
                 self.store_calls += 1;
                 if store_serves(index) { WATCH_MS } else { 5 }
             }
-            Source::Peer { address, is_local } => {
+            Source::Peer {
+                address,
+                is_local,
+                is_immediate,
+            } => {
                 let peer = peer_index(descriptions, address);
-                match (self.nodes[peer].is_alive, is_searching, is_local) {
+                match (
+                    self.nodes[peer].is_alive,
+                    is_searching || *is_immediate,
+                    is_local,
+                ) {
                     (false, true, _) => PEER_TIMEOUT_MS - PEER_WATCH_MS,
                     (false, false, _) => PEER_TIMEOUT_MS,
                     (true, true, _) => 2,
