Read messages and records of the builds before and after

Cause: the ledger's records, calls and replies, the record of a bucket's owner and the stored configuration changes refused unknown fields, so that a build that adds one could not run beside this one; a node's record that lacks a field became an empty one, and the node was not followed.

Change: deny_unknown_fields is gone from what nodes write for each other; NodeRecord has defaults. It stays where operators write, which includes the rows of the product's configuration.

--- a/crates/hemlockhitch_config/src/store/blob.rs
+++ b/crates/hemlockhitch_config/src/store/blob.rs
@@ -15,7 +15,6 @@
 /// Reference to a text that is split over several keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub(super) struct Blob {
     prefix: String,
     parts: u32,
--- a/crates/hemlockhitch_config/src/store/record.rs
+++ b/crates/hemlockhitch_config/src/store/record.rs
@@ -28,7 +28,6 @@
 /// Record of a change in its slot.
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub(super) struct StoredChange {
     pub(super) generation: u64,
     pub(super) body: StoredBody,
@@ -46,7 +45,6 @@
 /// Record that refers to a snapshot.
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub(super) struct StoredSnapshot {
     pub(super) generation: u64,
     pub(super) body: Blob,
--- a/crates/hemlockhitch_gateway/src/membership.rs
+++ b/crates/hemlockhitch_gateway/src/membership.rs
@@ -30,7 +30,7 @@
 /// What a node publishes about itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(rename_all = "snake_case", default)]
 pub struct NodeRecord {
     /// Address at which the node serves the feed, `ip:port`.
     pub(crate) address: String,
--- a/crates/hemlockhitch_ledger/src/bill/mod.rs
+++ b/crates/hemlockhitch_ledger/src/bill/mod.rs
@@ -14,7 +14,6 @@
 /// The usage and cost of one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Bill {
     /// The request id; a request is billed at most once.
     pub request_id: RequestId,
--- a/crates/hemlockhitch_ledger/src/call/mod.rs
+++ b/crates/hemlockhitch_ledger/src/call/mod.rs
@@ -13,7 +13,7 @@
 /// A call to the owner of a shard. Every call is idempotent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", deny_unknown_fields)]
+#[serde(rename_all = "snake_case")]
 pub enum LedgerCall {
     /// Claims a non-idempotent request.
     Claim(Claim),
@@ -50,7 +50,7 @@
 /// The owner's reply to a [`LedgerCall`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", deny_unknown_fields)]
+#[serde(rename_all = "snake_case")]
 pub enum LedgerReply {
     /// The reply to [`LedgerCall::Claim`].
     Claim(ClaimAnswer),
--- a/crates/hemlockhitch_ledger/src/claim/mod.rs
+++ b/crates/hemlockhitch_ledger/src/claim/mod.rs
@@ -6,7 +6,6 @@
 /// Identifies a non-idempotent request across retries by its caller.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ClaimKey {
     /// The organisation of the caller.
     pub organisation: OrganisationName,
@@ -17,7 +16,6 @@
 /// A claim on the right to run a non-idempotent request, made by one attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Claim {
     /// The key to claim.
     pub key: ClaimKey,
@@ -31,7 +29,7 @@
 /// The outcome of a claimed request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", deny_unknown_fields)]
+#[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// The request ran and returned this response.
     Done {
@@ -51,7 +49,7 @@
 /// The answer to a claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", deny_unknown_fields)]
+#[serde(rename_all = "snake_case")]
 pub enum ClaimAnswer {
     /// The attempt may dispatch the request, once.
     Granted,
@@ -71,7 +69,6 @@
 /// The recorded state of a claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ClaimState {
     /// The latest attempt that was granted the claim or released it.
     pub attempt: RequestId,
--- a/crates/hemlockhitch_ledger/src/deferred/mod.rs
+++ b/crates/hemlockhitch_ledger/src/deferred/mod.rs
@@ -16,7 +16,6 @@
 /// A deferred request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Job {
     /// The request id, which is also the job id.
     pub request_id: RequestId,
@@ -35,7 +34,7 @@
 /// The state of a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", deny_unknown_fields)]
+#[serde(rename_all = "snake_case")]
 pub enum JobState {
     /// The job is waiting to run.
     Queued,
--- a/crates/hemlockhitch_peer/src/ownership/reconciler.rs
+++ b/crates/hemlockhitch_peer/src/ownership/reconciler.rs
@@ -26,7 +26,6 @@
 /// The value stored under a bucket's key, as JSON.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 struct OwnerRecord {
     /// Node name of the owner.
     pub(crate) node: String,
