--- a/crates/hemlockhitch/tests/processes/failures/node.rs
+++ b/crates/hemlockhitch/tests/processes/failures/node.rs
@@ -49,6 +49,35 @@
     assert!(run_count(&fleet, "k-1").await <= 1);
 }
 
+/// Guards against work that is started again because its node is silent: the hold runs at its
+/// service while its node is frozen, and a repetition at another node does not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_of_a_silent_node_is_neither_run_again_nor_given_up() {
+    let fleet = Fleet::start(FLEET_SIZE).await;
+    for service in &fleet.services {
+        fleet
+            .inject_fault(service, &json!({"fault": "slow", "delay_ms": 1_500}))
+            .await;
+    }
+    let caller = fleet.caller(0);
+    let silent = tokio::spawn(async move {
+        caller
+            .call(Method::POST, "pull/holds", Some("s-1"), "s-1")
+            .await
+    });
+    sleep(Duration::from_millis(700)).await;
+    fleet.nodes[0].signal("STOP");
+    let repeated = hold_once(&fleet, 1, "s-1").await.unwrap();
+    assert!([409, 503].contains(&repeated.status), "{}", repeated.body);
+    sleep(Duration::from_secs(2)).await;
+    fleet.nodes[0].signal("CONT");
+    let answered = silent.await.unwrap().unwrap();
+    assert_eq!(answered.status, 200, "{}", answered.body);
+    let (status, stored) = hold(&fleet, 1, "s-1").await;
+    assert_eq!((status, stored), (200, answered.body));
+    assert_eq!(run_count(&fleet, "s-1").await, 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_owner_does_nothing_on_a_lapsed_lease() {
     let fleet = Fleet::start(FLEET_SIZE).await;
