Count the age of a copy that is older than the process

Cause: monotonic time starts at zero with the process, and the time of a copy's confirmation, the call's time less the age that the other node states, was clamped to zero. A node that had just started and loaded what a node knew that had been paused for 5 s took it for as old as itself, and accepted a withdrawn key for up to 4.85 s.

The two calls of confirm in tests/limits.rs get the age 0, their assertions are unchanged.

--- a/crates/hemlockhitch_gateway/src/feed/follower.rs
+++ b/crates/hemlockhitch_gateway/src/feed/follower.rs
@@ -20,14 +20,15 @@
 }
 
 impl Follower {
-    /// Applies a batch that was current at `confirmed` or later; a peer's batch holds the
-    /// changes since a position. Returns whether it could be applied.
+    /// Applies the batch of a call that was sent at `sent`, which was at most `age_ms` old
+    /// then; a peer's batch holds the changes since a position. Returns whether it could be applied.
     pub(super) fn apply_batch<D: Dialect, C: Clock>(
         &mut self,
         node_context: &NodeContext<D, C>,
         batch: WatchBatch,
         since: Option<StorePosition>,
-        confirmed: Now,
+        sent: Now,
+        age_ms: u64,
     ) -> bool {
         let now = node_context.now();
         let mut batch = batch;
@@ -80,7 +81,7 @@
             apply::write(node_context, &entry, provenance, now);
         }
         self.apply_deferred_deletions(node_context, now);
-        node_context.state().freshness.confirm(confirmed);
+        node_context.state().freshness.confirm(sent, age_ms);
         node_context.publish_position();
         true
     }
--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -111,7 +111,7 @@
                 let changed = !batch.written.is_empty() || !batch.deleted.is_empty();
                 let applied = self
                     .follower
-                    .apply_batch(&self.node_context, batch, None, sent);
+                    .apply_batch(&self.node_context, batch, None, sent, 0);
                 // Otherwise the store is listed at once, as its epoch is now known.
                 if changed && applied {
                     sleep(BATCH_DELAY).await;
@@ -182,11 +182,12 @@
             .fleet
             .merge_removed(reply.removed, now);
         self.store.observe_epoch(reply.batch.epoch);
-        let confirmed = Now {
-            mono_ms: sent.mono_ms.saturating_sub(reply.age_ms),
-            ..sent
-        };
-        self.follower
-            .apply_batch(&self.node_context, reply.batch, Some(position), confirmed);
+        self.follower.apply_batch(
+            &self.node_context,
+            reply.batch,
+            Some(position),
+            sent,
+            reply.age_ms,
+        );
     }
 }
--- a/crates/hemlockhitch_routing/tests/limits.rs
+++ b/crates/hemlockhitch_routing/tests/limits.rs
@@ -66,8 +66,8 @@
 fn freshness_counts_from_the_send_time_of_a_call() {
     let mut freshness = Freshness::default();
     assert!(!freshness.is_fresh(5_000, at(0)));
-    freshness.confirm(at(1_000));
-    freshness.confirm(at(500));
+    freshness.confirm(at(1_000), 0);
+    freshness.confirm(at(500), 0);
     assert_eq!(freshness.age_ms(at(3_000)), Some(2_000));
     assert!(freshness.is_fresh(4_850, at(5_850)));
     assert!(!freshness.is_fresh(4_850, at(5_851)));
