--- a/crates/hemlockhitch_gateway/src/attempt/answer.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/answer.rs
@@ -33,6 +33,10 @@
 /// is not held against the endpoint: it may end one whose answer is left unread.
 pub(super) const LEFT_UNREAD_MS: u64 = 500;
 
+/// Number of connection buffers in which a relayed answer waits: one each at the endpoint's
+/// connection, in its body, in the relay and at the caller's connection.
+const RELAY_BUFFERS: u64 = 4;
+
 /// A body that was read as far as the memory budget allowed.
 #[derive(Debug)]
 pub(super) enum HeldBody {
@@ -153,7 +157,7 @@
         let claim = Claim::Stream(self.ctx.organisation_hash());
         let mut buffers = self.gateway.node_context.memory().reservation(claim);
         // An answer that an endpoint has produced is delivered even if this is refused.
-        let is_reserved = buffers.grow_to(MAX_BUFFER_BYTES as u64);
+        let is_reserved = buffers.grow_to(RELAY_BUFFERS * MAX_BUFFER_BYTES as u64);
         tracing::debug!(
             event = "HH1290",
             request = self.ctx.metadata.request_id,
--- a/crates/hemlockhitch_gateway/src/connection/open.rs
+++ b/crates/hemlockhitch_gateway/src/connection/open.rs
@@ -29,9 +29,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Maximum size of a connection's read buffer, in bytes, and thus of a response head. An
-/// answer that its caller does not read waits in about four of them: at 64 KB, 120 such
-/// callers took 42 MB.
-pub(crate) const MAX_BUFFER_BYTES: usize = 32 * 1_024;
+/// answer that its caller does not read waits in about four of them: 120 such callers took
+/// 42 MB at 64 KB, and 24 MB at 32 KB.
+pub(crate) const MAX_BUFFER_BYTES: usize = 16 * 1_024;
 
 pub(super) async fn open(
     remote: Remote,
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -44,6 +44,10 @@
 /// Bytes per second that a capacity of one stands for: a megabit per second.
 const BYTES_PER_CAPACITY: u64 = 125_000;
 
+/// Maximum size of the buffers of a connection for passed requests, in bytes: room for the
+/// head of a caller's request with what nodes add to it.
+const MAX_BUFFER_BYTES: usize = 64 * 1_024;
+
 /// Passes on the node's copy of the store.
 #[derive(Debug)]
 struct FeedService<D, C> {
@@ -100,7 +104,7 @@
     }
     let service = service_fn(move |request| peer_service.clone().handle(request));
     let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder.http1().max_buf_size(connection::MAX_BUFFER_BYTES);
+    builder.http1().max_buf_size(MAX_BUFFER_BYTES);
     let served = builder
         .serve_connection(TokioIo::new(stream), service)
         .await;
