Refuse requests for large answers while slow readers hold their part

Cause: an answer that an endpoint has produced must be delivered, so 1,000 callers that read nothing reserved the whole budget by their requests, and every quick request was refused.

Change: the buffers of relayed answers are charged also without room, and a request of a route whose recent answers were large is refused as not run while answers and streams hold 60 percent of the budget, or 50 percent for its organisation.

--- a/crates/hemlockhitch_gateway/src/attempt/admit.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/admit.rs
@@ -166,6 +166,11 @@
             )
         })?;
         let ctx = RequestContext::new(received, route, organisation, service, in_flight_guard);
+        let route_hash = hemlockhitch_routing::hash_bytes(&ctx.route.name);
+        let memory = self.node_context.memory();
+        if !memory.admits(route_hash, ctx.organisation_hash()) {
+            return Err(memory_in_use());
+        }
         if self.is_blocked(&ctx) {
             let message = "endpoints crashed under this request; do not send it again";
             return Err(Refusal::new(StatusCode::BAD_GATEWAY, message));
--- a/crates/hemlockhitch_gateway/src/attempt/answer.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/answer.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use hemlockhitch_model::Clock;
 use hemlockhitch_routing::fleet::Sign;
+use hemlockhitch_routing::hash_bytes;
 use hemlockhitch_routing::limits::{Claim, Progress};
 use http::Response;
 use http::header::{CONTENT_LENGTH, HeaderValue};
@@ -82,8 +83,12 @@
         may_relay: bool,
     ) -> Result<HeldBody, BodyError> {
         let claim = Claim::Answer(ctx.organisation_hash());
-        let mut collector = Collector::new(self.node_context.memory().reservation(claim));
-        if let Some(length) = body.size_hint().exact() {
+        let memory = self.node_context.memory();
+        let route = hash_bytes(&ctx.route.name);
+        let mut collector = Collector::new(memory.reservation(claim));
+        let length = body.size_hint().exact();
+        if let Some(length) = length {
+            memory.record_answer(route, length);
             if length > MAX_RESPONSE_BYTES as u64 {
                 return Err(BodyError::TooLarge);
             }
@@ -106,9 +111,13 @@
             if !may_relay {
                 return Err(BodyError::Broken);
             }
+            memory.record_answer(route, (collector.len() + bytes.len()) as u64);
             let chunks = [collector.finish(), bytes];
             return Ok(HeldBody::Start(Box::new(BodyStart { chunks, rest: body })));
         }
+        if length.is_none() {
+            memory.record_answer(route, collector.len() as u64);
+        }
         Ok(HeldBody::Whole(collector.finish()))
     }
 }
@@ -156,13 +165,12 @@
     async fn run(mut self, answer: RelayedAnswer<D, C>) {
         let claim = Claim::Stream(self.ctx.organisation_hash());
         let mut buffers = self.gateway.node_context.memory().reservation(claim);
-        // An answer that an endpoint has produced is delivered even if this is refused.
-        let is_reserved = buffers.grow_to(RELAY_BUFFERS * MAX_BUFFER_BYTES as u64);
+        // An answer that an endpoint has produced is delivered even if the budget is spent.
+        buffers.charge(RELAY_BUFFERS * MAX_BUFFER_BYTES as u64);
         tracing::debug!(
             event = "HH1290",
             request = self.ctx.metadata.request_id,
             route = self.ctx.route.name,
-            is_reserved,
             "answer relayed as it arrives"
         );
         let RelayedAnswer {
--- a/crates/hemlockhitch_gateway/src/memory.rs
+++ b/crates/hemlockhitch_gateway/src/memory.rs
@@ -27,6 +27,17 @@
         }
     }
 
+    /// Records the size of an answer to a request of the route with this hash.
+    pub(crate) fn record_answer(&self, route: u64, bytes: u64) {
+        self.lock().record_answer(route, bytes);
+    }
+
+    /// Returns whether there is memory for the answer to a request of this route and
+    /// organisation.
+    pub(crate) fn admits(&self, route: u64, organisation: u64) -> bool {
+        self.lock().admits(route, organisation)
+    }
+
     /// Returns what is reserved.
     pub(crate) fn held(&self) -> HeldBytes {
         self.lock().held()
@@ -56,6 +67,12 @@
         }
         granted
     }
+
+    /// Enlarges the reservation by `bytes` whether or not the budget allows it.
+    pub(crate) fn charge(&mut self, bytes: u64) {
+        self.account.lock().charge(self.claim, bytes);
+        self.bytes += bytes;
+    }
 }
 
 impl Drop for Reservation {
--- a/crates/hemlockhitch_routing/src/limits/memory_budget.rs
+++ b/crates/hemlockhitch_routing/src/limits/memory_budget.rs
@@ -25,6 +25,12 @@
 /// Part of the budget that answers and streams to callers of one organisation may take.
 const ORGANISATION_PERCENT: u64 = 25;
 
+/// Part of the budget that answers and streams may take, those that had to be delivered
+/// without room included, before further requests for large answers are refused; and the
+/// same for callers of one organisation.
+const READERS_PERCENT: u64 = 60;
+const ORGANISATION_READERS_PERCENT: u64 = 50;
+
 /// What bytes are held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Claim {
@@ -85,6 +91,8 @@
     limit_bytes: Option<u64>,
     held: HeldBytes,
     by_organisation: HashMap<u64, u64>,
+    /// Size of recent large answers by route.
+    answer_bytes: HashMap<u64, u64>,
 }
 
 impl MemoryBudget {
@@ -95,19 +103,52 @@
             limit_bytes,
             held: HeldBytes::default(),
             by_organisation: HashMap::new(),
+            answer_bytes: HashMap::new(),
         }
     }
 
     /// Reserves bytes; returns whether they fit. What does not fit is not reserved.
     pub fn reserve(&mut self, claim: Claim, bytes: u64) -> bool {
-        if !self.fits(claim, bytes) {
-            return false;
+        let fits = self.fits(claim, bytes);
+        if fits {
+            self.charge(claim, bytes);
         }
+        fits
+    }
+
+    /// Reserves bytes whether or not they fit: for an answer that an endpoint has produced
+    /// and that must be delivered.
+    pub fn charge(&mut self, claim: Claim, bytes: u64) {
         *self.held.of(claim) += bytes;
         if let Some(organisation) = claim.organisation() {
             *self.by_organisation.entry(organisation).or_default() += bytes;
         }
-        true
+    }
+
+    /// Records the size of an answer to a request of the route with this hash.
+    pub fn record_answer(&mut self, route: u64, bytes: u64) {
+        let known = self.answer_bytes.get(&route).copied().unwrap_or(0);
+        let expected = bytes.max(known / 2);
+        if expected > FIRST_STEP_BYTES {
+            self.answer_bytes.insert(route, expected);
+        } else {
+            self.answer_bytes.remove(&route);
+        }
+    }
+
+    /// Returns whether a request may be sent to an endpoint: not if answers of its route
+    /// have lately been large, and too much is held for answers that callers leave unread.
+    #[must_use]
+    pub fn admits(&self, route: u64, organisation: u64) -> bool {
+        let Some(limit_bytes) = self.limit_bytes else {
+            return true;
+        };
+        let part = |percent: u64| limit_bytes / 4 * percent / 25;
+        let own = self.by_organisation.get(&organisation);
+        let own = own.copied().unwrap_or(0);
+        !self.answer_bytes.contains_key(&route)
+            || (self.held.answers + self.held.streams < part(READERS_PERCENT)
+                && own < part(ORGANISATION_READERS_PERCENT))
     }
 
     /// Releases bytes that were reserved for the same claim.
--- a/crates/hemlockhitch_routing/tests/memory_budget.rs
+++ b/crates/hemlockhitch_routing/tests/memory_budget.rs
@@ -48,6 +48,33 @@
     assert!(budget.reserve(Claim::Answer(3), LARGE_BYTES));
 }
 
+/// Guards against slow readers whose answers must be delivered and that take the whole
+/// budget: small requests were all refused beside 1,000 of them.
+#[test]
+fn requests_for_large_answers_are_refused_while_slow_readers_hold_their_part() {
+    let (large, small) = (1, 2);
+    let mut budget = budget();
+    budget.record_answer(large, LARGE_BYTES);
+    budget.record_answer(small, 100);
+    let mut readers = 0;
+    while budget.admits(large, 7) && readers < 1_000 {
+        assert!(budget.reserve(Claim::Request, REQUEST_BYTES));
+        budget.charge(Claim::Stream(7), 65_536);
+        readers += 1;
+    }
+    assert!((120..=256).contains(&readers), "{readers}");
+    assert!(budget.admits(small, 7));
+    assert!(budget.reserve(Claim::Request, REQUEST_BYTES));
+    assert!(budget.admits(large, 8), "another organisation");
+    budget.release(Claim::Stream(7), 65_536);
+    assert!(budget.admits(large, 7));
+    budget.charge(Claim::Stream(7), 65_536);
+    for _ in 0..9 {
+        budget.record_answer(large, 100);
+    }
+    assert!(budget.admits(large, 7), "its answers are small now");
+}
+
 #[test]
 fn budget_without_a_limit_refuses_nothing() {
     let mut budget = MemoryBudget::new(None);
