--- a/crates/hemlockhitch_gateway/src/attempt/probe.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/probe.rs
@@ -25,6 +25,9 @@
 /// slow, the request goes to the best one known.
 const MAX_PROBES: usize = 2;
 
+/// Hash in place of that of a request's id, which a probe does not have.
+const NO_REQUEST_HASH: u64 = 0;
+
 /// Maximum size of a response on a health path, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4_096;
 
@@ -89,7 +92,9 @@
         request.headers_mut().insert(http::header::HOST, host);
         let pool = self.node_context.connection_pool();
         let remote = Remote::Endpoint(target.endpoint);
-        let (response, connection) = pool.send(remote, target.address, request).await.ok()?;
+        // The response repeats no id, so that it could not be told from a surplus one.
+        let sending = pool.send_on_new(remote, target.address, request, NO_REQUEST_HASH);
+        let (response, connection) = sending.await.ok()?;
         let dialect = self.node_context.dialect();
         let metadata = dialect.parse_response(response.status(), response.headers());
         if !response.status().is_success() {
--- a/crates/hemlockhitch_gateway/src/listener/mod.rs
+++ b/crates/hemlockhitch_gateway/src/listener/mod.rs
@@ -1,5 +1,6 @@
 //! Accepts connections from callers.
 
+mod caller_stream;
 mod drain;
 mod readiness;
 
@@ -19,6 +20,7 @@
 
 use crate::attempt::Gateway;
 use crate::dialect::Dialect;
+use caller_stream::CallerStream;
 
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -82,10 +84,13 @@
         let tracked = drain.track();
         async move {
             let _tracked = tracked;
-            if let Err(error) = stream.set_nodelay(true) {
-                tracing::debug!(event = "HH1241", %error, "failed to configure a caller's connection");
-                return;
-            }
+            let stream = match CallerStream::new(stream, gateway.node_context().clone()) {
+                Ok(stream) => stream,
+                Err(error) => {
+                    tracing::debug!(event = "HH1241", %error, "failed to configure a caller's connection");
+                    return;
+                }
+            };
             let catalogue = gateway.node_context().state().catalogue.clone();
             let limits = catalogue
                 .map(|catalogue| catalogue.caller_limits())
--- a/crates/hemlockhitch_gateway/src/settings.rs
+++ b/crates/hemlockhitch_gateway/src/settings.rs
@@ -51,6 +51,8 @@
     pub probes_per_s: f64,
     /// Maximum number of requests in flight.
     pub max_in_flight: usize,
+    /// Bytes that the node may hold for requests and answers; `None` sets no limit.
+    pub memory_limit_bytes: Option<u64>,
 }
 
 impl GatewaySettings {
@@ -80,6 +82,7 @@
             max_endpoint_pause_ms: 60_000,
             probes_per_s: 0.0,
             max_in_flight: 1_000,
+            memory_limit_bytes: None,
         }
     }
 
@@ -219,4 +222,11 @@
         self.max_in_flight = max_in_flight;
         self
     }
+
+    /// Sets how many bytes the node may hold for requests and answers.
+    #[must_use]
+    pub fn memory_limit_bytes(mut self, memory_limit_bytes: Option<u64>) -> Self {
+        self.memory_limit_bytes = memory_limit_bytes;
+        self
+    }
 }
