Fair shares of a service by organisation: decision, exchange and use (in progress)

Cause: nine nodes, three endpoints that run 60 requests/s; one of six organisations sends 92 requests/s, five send 8 each.

Change: routing::shares divides the learned capacity max-min fairly; nodes exchange demand with the feed; a released slot goes first to a waiting request of an organisation within its share. Off unless gateway.shares or a contract of the platform calls for it.

--- a/crates/hemlockhitch/src/gateway/derived.rs
+++ b/crates/hemlockhitch/src/gateway/derived.rs
@@ -55,6 +55,7 @@
         } else {
             0
         })
+        .shares(bounds.shares || hemlockhitch_adapter::calls_for_shares(&file.contracts))
         .max_in_flight(usize::try_from(bounds.in_flight).unwrap_or(usize::MAX))
 }
 
--- a/crates/hemlockhitch_config/src/settings/gateway.rs
+++ b/crates/hemlockhitch_config/src/settings/gateway.rs
@@ -26,6 +26,9 @@
     pub source_address: Option<IpAddr>,
     /// Address of the platform's key-value service: `platform.key_value`.
     pub key_value: SocketAddr,
+    /// Names of what the platform has agreed with its customers: `platform.contracts`,
+    /// separated by commas.
+    pub contracts: Vec<String>,
     /// Limits set by the platform: `[gateway]`.
     pub bounds: GatewayLimits,
     /// Logging options: `[log]`.
@@ -80,6 +83,8 @@
     pub cores: f64,
     /// Maximum number of concurrent requests of the node.
     pub in_flight: u64,
+    /// Whether the capacity of services is divided fairly among organisations.
+    pub shares: bool,
 }
 
 impl GatewayFile {
@@ -111,6 +116,7 @@
     let peers = reader.address("listen", "peers");
     let metrics = reader.address("listen", "metrics");
     let key_value = reader.address("platform", "key_value");
+    let contracts = reader.list("platform", "contracts");
     let bounds = GatewayLimits {
         revoke_ms: reader.integer(&integer::REVOKE_MS),
         repeat_ratio: decimal::REPEAT_RATIO.read(reader),
@@ -126,6 +132,7 @@
         link_mbps: decimal::LINK_MBPS.read(reader),
         cores: decimal::CORES.read(reader),
         in_flight: reader.integer(&integer::GATEWAY_IN_FLIGHT),
+        shares: reader.flag("gateway", "shares"),
     };
     let log = sections::read_log(reader);
     Some(GatewayFile {
@@ -139,6 +146,7 @@
             metrics: metrics?,
         },
         key_value: key_value?,
+        contracts,
         bounds,
         log,
     })
--- a/crates/hemlockhitch_config/src/settings/reader.rs
+++ b/crates/hemlockhitch_config/src/settings/reader.rs
@@ -159,6 +159,17 @@
         })
     }
 
+    /// Reads a list separated by commas. Returns an empty one if it is absent.
+    pub(super) fn list(&mut self, section: &'static str, key: &'static str) -> Vec<String> {
+        let entry = self.take(section, key);
+        let value = entry.map(|entry| entry.value).unwrap_or_default();
+        let names = value.split(',').map(str::trim);
+        names
+            .filter(|name| !name.is_empty())
+            .map(str::to_owned)
+            .collect()
+    }
+
     /// Adds a fault that concerns an entry.
     pub(super) fn add_entry_fault(
         &mut self,
--- a/crates/hemlockhitch_gateway/src/attempt/admit.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/admit.rs
@@ -163,11 +163,12 @@
                 RETRY_AFTER_NODE_FULL_MS,
             )
         })?;
-        let ctx = RequestContext::new(received, route, organisation, service, in_flight_guard);
+        let mut ctx = RequestContext::new(received, route, organisation, service, in_flight_guard);
         if self.is_blocked(&ctx) {
             let message = "endpoints crashed under this request; do not send it again";
             return Err(Refusal::new(StatusCode::BAD_GATEWAY, message));
         }
+        self.apply_share(&mut ctx)?;
         Ok(ctx)
     }
 }
--- a/crates/hemlockhitch_gateway/src/attempt/context.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/context.rs
@@ -7,6 +7,7 @@
 use hemlockhitch_routing::catalogue::{Organisation, Route};
 use hemlockhitch_routing::crash_tracker::RequestTraits;
 use hemlockhitch_routing::retry::{AttemptSummary, Seen};
+use hemlockhitch_routing::shares::Standing;
 use hemlockhitch_routing::{hash_bytes, mix};
 use http::request::Parts;
 use tokio::time::Instant;
@@ -38,6 +39,9 @@
     pub(super) deadline: Instant,
     /// What is left of a request that another node passed.
     pub(super) passed: Option<PassedRequest>,
+    /// How the organisation stands within its share of the service; `None` if shares are
+    /// not enforced.
+    pub(super) standing: Option<Standing>,
     _in_flight_guard: InFlightGuard<D, C>,
 }
 
@@ -81,6 +85,7 @@
             timeout_ms: received.timeout_ms,
             deadline: received.deadline,
             passed: received.passed,
+            standing: None,
             _in_flight_guard: in_flight_guard,
         }
     }
@@ -133,6 +138,10 @@
 pub(super) struct AttemptHistory {
     /// Whether the request has waited for a slot.
     pub(super) has_waited: bool,
+    /// Whether the request found no room at the endpoints it tried.
+    pub(super) found_no_room: bool,
+    /// The endpoint at which this node released a slot for the next attempt.
+    pub(super) released: Option<EndpointKey>,
     /// Whether the request was counted towards the retry budget of its service.
     pub(super) is_counted: bool,
     /// Endpoints that the attempts went to, including unreachable ones.
--- a/crates/hemlockhitch_gateway/src/attempt/mod.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/mod.rs
@@ -16,6 +16,7 @@
 mod response;
 mod run;
 mod send;
+mod share;
 mod slot;
 mod stream;
 
--- a/crates/hemlockhitch_gateway/src/attempt/response.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/response.rs
@@ -118,6 +118,15 @@
         }
     }
 
+    /// The same with a time that is spread already.
+    pub(super) fn not_run_until(message: &'static str, retry_after_ms: u64) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            message,
+            retry_after_ms: Some(retry_after_ms),
+        }
+    }
+
     pub(super) fn status(&self) -> StatusCode {
         self.status
     }
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -90,6 +90,9 @@
                 history.is_counted = true;
                 self.record_request(ctx);
             }
+            if !self.wait_for_room(ctx, history).await {
+                return Err(self.no_endpoint_available(ctx, history));
+            }
             let slot = if self.is_behind_others(ctx, history) {
                 None
             } else {
@@ -99,6 +102,7 @@
                 if self.wait_for_slot(ctx, history).await {
                     continue;
                 }
+                self.record_crowded(ctx, history);
                 return Err(self.no_endpoint_available(ctx, history));
             };
             if history.sent > 0 {
@@ -108,7 +112,7 @@
             history.tried.push(slot.endpoint);
             history.start_attempt();
             let response_timeout = response_timeout(ctx, history);
-            let (result, slot) = self.send(ctx, history, slot, response_timeout).await;
+            let (result, mut slot) = self.send(ctx, history, slot, response_timeout).await;
             match result {
                 Ok(accepted) => {
                     history.in_progress = false;
@@ -122,15 +126,20 @@
                         history.may_have_run = true;
                         continue;
                     }
+                    self.record_share_served(ctx);
                     if matches!(accepted.response, OpenedResponse::Buffered(_)) {
                         self.node_context.record_served(ctx.traits());
                     }
                     return Ok(accepted.response);
                 }
                 Err(failure) => {
-                    if let Some(slot) = &slot {
+                    if let Some(slot) = &mut slot {
+                        slot.may_be_free = false;
                         self.record_failure(ctx, history, slot, &failure);
                     }
+                    if failure.seen == Seen::NotRun {
+                        self.record_crowded(ctx, history);
+                    }
                     drop(slot);
                     history.end_attempt(failure.seen);
                     self.continue_after_failure(ctx, history, failure)?;
--- a/crates/hemlockhitch_gateway/src/attempt/slot.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/slot.rs
@@ -41,6 +41,8 @@
     model_hash: u64,
     pending_prefill_tokens: u64,
     pub(super) acquired_mono_ms: u64,
+    /// Whether the endpoint probably has room when the slot is released.
+    pub(super) may_be_free: bool,
     prefilled_mono_ms: u64,
 }
 
@@ -68,10 +70,15 @@
             tokens: ctx.metadata.prompt_tokens,
             cache_ttl_ms: settings.prompt_cache_ttl_ms,
         });
+        // A slot that was just released is taken before any other.
+        let others = history.released.map(|released| {
+            let known = state.fleet.of_service(&ctx.service).map(|(key, _)| key);
+            known.filter(|key| *key != released).collect::<Vec<_>>()
+        });
         let request = SelectionRequest {
             service: &ctx.service,
             local_data_centre: &settings.data_centre,
-            tried: &history.tried,
+            tried: others.as_deref().unwrap_or(&history.tried),
             body_bytes: ctx.body.len() as u64,
             prompt,
             nodes: state.node_shares(settings),
@@ -119,6 +126,7 @@
             model_hash,
             pending_prefill_tokens,
             acquired_mono_ms: now.mono_ms,
+            may_be_free: true,
             prefilled_mono_ms: now.mono_ms,
         })
     }
@@ -218,11 +226,23 @@
         };
         endpoint_state.in_flight = endpoint_state.in_flight.saturating_sub(1);
         let service = endpoint_state.entry.service.clone();
-        let queue = state.slot_queues.entry(service).or_default();
+        let queue = state.slot_queues.entry(service.clone()).or_default();
         queue.requests.record_held(held_ms);
         if queue.requests.is_waiting() {
             queue.freed.notify_one();
         }
+        if self.may_be_free && self.node_context.settings().shares {
+            let nodes = u64::from(state.node_count());
+            let endpoints = state.fleet.eligible(&service);
+            let used = endpoints.map(|(_, known)| (known.in_flight, known.entry.slots));
+            let (in_flight, slots) = used.fold((0, 0), |(in_flight, slots), used| {
+                (in_flight + u64::from(used.0), slots + u64::from(used.1))
+            });
+            let has_own_part = in_flight * nodes >= slots + nodes;
+            state
+                .fair_shares
+                .hand_over(&service, self.endpoint, held_ms, has_own_part);
+        }
     }
 }
 
--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -139,6 +139,7 @@
             node: settings.node.to_string(),
             loads: own_loads,
             leaving: self.node_context.leaving(),
+            demand: self.node_context.due_demand_report(),
         };
         let reply = match self.clients.follow(address, request).await {
             Ok(reply) => reply,
@@ -169,6 +170,7 @@
             self.node_context.set_peer_loads(&reply.loads);
         }
         self.node_context.merge_leaving(&reply.leaving);
+        self.node_context.record_demand(reply.demand);
         self.store.observe_epoch(reply.batch.epoch);
         let confirmed = Now {
             mono_ms: sent.mono_ms.saturating_sub(reply.age_ms),
--- a/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
+++ b/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
@@ -19,6 +19,10 @@
     /// Hashes of the endpoint instances that the calling node knows to be leaving.
     #[prost(fixed64, repeated, tag = "6")]
     pub leaving: ::prost::alloc::vec::Vec<u64>,
+    /// Demand of the calling node and of those that follow it. The reply holds demand only if
+    /// this is present.
+    #[prost(message, optional, tag = "7")]
+    pub demand: ::core::option::Option<DemandReport>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FollowReply {
@@ -44,6 +48,93 @@
     /// Hashes of the endpoint instances that the replying node knows to be leaving.
     #[prost(fixed64, repeated, tag = "8")]
     pub leaving: ::prost::alloc::vec::Vec<u64>,
+    /// Demand of other nodes, at most one report for each origin.
+    #[prost(message, repeated, tag = "9")]
+    pub demand: ::prost::alloc::vec::Vec<DemandReport>,
+}
+/// Demand for services that a node measured, or summed over the nodes that follow it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct DemandReport {
+    /// Hash of the name of the node that measured or summed the demand.
+    #[prost(fixed64, tag = "1")]
+    pub origin: u64,
+    #[prost(enumeration = "demand_report::Scope", tag = "2")]
+    pub scope: i32,
+    /// Time since it was measured.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    #[prost(message, repeated, tag = "4")]
+    pub services: ::prost::alloc::vec::Vec<ServiceDemand>,
+}
+/// Nested message and enum types in `DemandReport`.
+pub mod demand_report {
+    #[derive(
+        Clone,
+        Copy,
+        Debug,
+        PartialEq,
+        Eq,
+        Hash,
+        PartialOrd,
+        Ord,
+        ::prost::Enumeration
+    )]
+    #[repr(i32)]
+    pub enum Scope {
+        /// The origin alone.
+        Node = 0,
+        /// The origin and the nodes that follow it.
+        Followers = 1,
+        /// All nodes but the one that the report is sent to, which does not pass it on.
+        All = 2,
+    }
+    impl Scope {
+        /// String value of the enum field names used in the ProtoBuf definition.
+        ///
+        /// The values are not transformed in any way and thus are considered stable
+        /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+        pub fn as_str_name(&self) -> &'static str {
+            match self {
+                Self::Node => "NODE",
+                Self::Followers => "FOLLOWERS",
+                Self::All => "ALL",
+            }
+        }
+        /// Creates an enum from field names used in the ProtoBuf definition.
+        pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+            match value {
+                "NODE" => Some(Self::Node),
+                "FOLLOWERS" => Some(Self::Followers),
+                "ALL" => Some(Self::All),
+                _ => None,
+            }
+        }
+    }
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServiceDemand {
+    /// Hash of the service's name.
+    #[prost(fixed64, tag = "1")]
+    pub service_hash: u64,
+    /// Hashes of the names of the largest organisations.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub organisations: ::prost::alloc::vec::Vec<u32>,
+    /// Requests of each that arrive, in hundredths per second.
+    #[prost(uint32, repeated, tag = "3")]
+    pub arrivals: ::prost::alloc::vec::Vec<u32>,
+    /// Requests of each that are served, in hundredths per second.
+    #[prost(uint32, repeated, tag = "4")]
+    pub served: ::prost::alloc::vec::Vec<u32>,
+    /// The same for all other organisations together, and their number.
+    #[prost(uint32, tag = "5")]
+    pub rest_arrivals: u32,
+    #[prost(uint32, tag = "6")]
+    pub rest_served: u32,
+    #[prost(uint32, tag = "7")]
+    pub rest_count: u32,
+    /// Admitted requests that found no room, in hundredths per second.
+    #[prost(uint32, tag = "8")]
+    pub crowded: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EndpointLoad {
--- a/crates/hemlockhitch_gateway/src/peer/client.rs
+++ b/crates/hemlockhitch_gateway/src/peer/client.rs
@@ -44,6 +44,8 @@
     pub(crate) loads: EndpointLoads,
     /// Hashes of the endpoint instances that are leaving.
     pub(crate) leaving: Vec<u64>,
+    /// Demand of other nodes.
+    pub(crate) demand: Vec<wire::DemandReport>,
 }
 
 /// Channels to the nodes that were called, by address.
@@ -136,5 +138,6 @@
         age_ms: reply.age_ms,
         loads: super::server::loads_from_wire(reply.loads),
         leaving: reply.leaving,
+        demand: reply.demand,
     }
 }
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -22,7 +22,7 @@
 use tonic::body::Body;
 use tonic::{Request, Response, Status};
 
-use super::EndpointLoads;
+use super::{EndpointLoads, demand_from_wire};
 use crate::attempt::{Gateway, ResponseBody};
 use crate::connection;
 use crate::dialect::Dialect;
@@ -150,6 +150,7 @@
         let loads = loads_from_wire(std::mem::take(&mut request.loads));
         self.node_context.record_loads(&request.node, loads);
         self.node_context.merge_leaving(&request.leaving);
+        let follower_demand = request.demand.take().and_then(demand_from_wire);
         let known = StorePosition {
             epoch: request.epoch,
             revision: request.revision,
@@ -173,7 +174,11 @@
         }
         let loads = self.node_context.loads_except(&request.node);
         let leaving = self.node_context.leaving();
-        Ok(Response::new(write_reply(batch, age_ms, &loads, leaving)))
+        let mut reply = write_reply(batch, age_ms, &loads, leaving);
+        if let Some(report) = follower_demand {
+            reply.demand = self.node_context.answer_demand(report);
+        }
+        Ok(Response::new(reply))
     }
 
     async fn exchange(
@@ -218,6 +223,7 @@
         loads: loads_to_wire(loads),
         epoch: batch.epoch,
         leaving,
+        demand: Vec::new(),
     }
 }
 
--- a/crates/hemlockhitch_gateway/src/settings.rs
+++ b/crates/hemlockhitch_gateway/src/settings.rs
@@ -49,6 +49,8 @@
     pub max_endpoint_pause_ms: u64,
     /// Maximum number of requests in flight.
     pub max_in_flight: usize,
+    /// Whether the capacity of services is divided fairly among organisations.
+    pub shares: bool,
 }
 
 impl GatewaySettings {
@@ -77,6 +79,7 @@
             registration_wait_ms: 0,
             max_endpoint_pause_ms: 60_000,
             max_in_flight: 1_000,
+            shares: false,
         }
     }
 
@@ -209,4 +212,11 @@
         self.max_in_flight = max_in_flight;
         self
     }
+
+    /// Sets whether the capacity of services is divided fairly among organisations.
+    #[must_use]
+    pub fn shares(mut self, shares: bool) -> Self {
+        self.shares = shares;
+        self
+    }
 }
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod endpoint;
 mod exchange;
 mod reach;
+mod shares;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -29,6 +30,7 @@
 use crate::peer::{LoadTable, Mirror};
 use crate::settings::GatewaySettings;
 use crate::telemetry::OrganisationLabels;
+use shares::FairShares;
 
 /// Requests that wait for a slot at the endpoints of a service.
 #[derive(Debug, Default)]
@@ -66,6 +68,8 @@
     pub helpers: HelperSelector,
     /// Requests that wait for a slot at brittle endpoints, by service.
     pub(crate) slot_queues: HashMap<ServiceName, ServiceQueue>,
+    /// Shares of services by organisation.
+    pub(crate) fair_shares: FairShares,
     /// Original requests and retries, by service.
     pub retry_budgets: HashMap<ServiceName, RetryBudget>,
     /// How close first events come to their latency objective, by service.
@@ -111,6 +115,7 @@
             reach: Reach::default(),
             helpers: HelperSelector::default(),
             slot_queues: HashMap::new(),
+            fair_shares: FairShares::new(hash_bytes(settings.node.as_str())),
             retry_budgets: HashMap::new(),
             pressure: HashMap::new(),
             work_ranks: HashMap::new(),
--- a/crates/hemlockhitch_gateway/src/telemetry/mod.rs
+++ b/crates/hemlockhitch_gateway/src/telemetry/mod.rs
@@ -1,5 +1,9 @@
 //! Counters, gauges and histograms of the gateway, with bounded labels.
 
+mod shares;
+
+pub(crate) use shares::count_share_refused;
+
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -25,7 +29,7 @@
 }
 
 impl OrganisationLabels {
-    fn label(&mut self, name: Option<&OrganisationName>) -> String {
+    pub(crate) fn label(&mut self, name: Option<&OrganisationName>) -> String {
         let Some(name) = name else {
             return "none".to_owned();
         };
@@ -140,6 +144,7 @@
 }
 
 fn update_gauges<D: Dialect, C: Clock>(node_context: &NodeContext<D, C>, now: Now) {
+    shares::report_shares(node_context, now);
     let state = node_context.state();
     let fleet = &state.fleet;
     let states = [
--- a/crates/hemlockhitch_routing/src/lib.rs
+++ b/crates/hemlockhitch_routing/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod retry;
 pub mod roll_out;
 pub mod selection;
+pub mod shares;
 pub mod source;
 
 mod freshness;
