--- a/crates/hemlockhitch_routing/src/shares/service.rs
+++ b/crates/hemlockhitch_routing/src/shares/service.rs
@@ -30,7 +30,7 @@
 
 /// Requests that a limited organisation may send in excess of its share, as a ratio. They
 /// come last, and fill slots that no node knows to be free.
-const OVERBOOKING_RATIO: f64 = 0.5;
+const OVERBOOKING_RATIO: f64 = 0.9;
 
 /// Most by which the rate of all slots may exceed the rate served, as a ratio: endpoints may
 /// be listed that serve nothing.
