--- a/crates/hemlockhitch_gateway/src/attempt/share.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/share.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hemlockhitch_model::{Clock, EndpointKey, ServiceName};
+use hemlockhitch_model::{Clock, EndpointKey, OrganisationName, ServiceName};
 use hemlockhitch_routing::shares::{
     Arrival, Decision, FleetSize, Standing, WaitKey, organisation_hash,
 };
@@ -51,7 +51,7 @@
         let request_key = mix(ctx.fingerprint, session.map_or(0, hash_bytes));
         let arrival = Arrival {
             service: hash_bytes(ctx.service.as_str()),
-            organisation: organisation_hash(organisation.map(|name| name.as_str())),
+            organisation: organisation_hash(organisation.map(OrganisationName::as_str)),
             priority: ctx.priority(),
             request_key: has_identity.then_some(request_key),
         };
@@ -128,7 +128,7 @@
         let Some((waiting, max_wait_ms, freed)) = self.join_waiters(ctx, standing) else {
             return true;
         };
-        if standing == Standing::Limited && history.sent > 0 {
+        if standing != Standing::WithinShare && history.sent > 0 {
             return false;
         }
         let mut freed = freed;
--- a/crates/hemlockhitch_gateway/src/attempt/slot.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/slot.rs
@@ -238,7 +238,7 @@
             let (in_flight, slots) = used.fold((0, 0), |(in_flight, slots), used| {
                 (in_flight + u64::from(used.0), slots + u64::from(used.1))
             });
-            let has_own_part = in_flight * nodes >= 2 * slots;
+            let has_own_part = in_flight * nodes >= slots + nodes;
             state
                 .fair_shares
                 .hand_over(&service, self.endpoint, held_ms, has_own_part);
--- a/crates/hemlockhitch_routing/src/shares/mod.rs
+++ b/crates/hemlockhitch_routing/src/shares/mod.rs
@@ -54,8 +54,10 @@
 pub enum Standing {
     /// The organisation asks for no more than its share.
     WithinShare,
-    /// The organisation is limited to its share.
+    /// The organisation is limited to its share, and the request is part of it.
     Limited,
+    /// The request exceeds the organisation's share, and takes only what no other wants.
+    Overbooked,
 }
 
 /// The decision about a request.
--- a/crates/hemlockhitch_routing/src/shares/service.rs
+++ b/crates/hemlockhitch_routing/src/shares/service.rs
@@ -30,7 +30,7 @@
 
 /// Requests that a limited organisation may send in excess of its share, as a ratio. They
 /// come last, and fill slots that no node knows to be free.
-const OVERBOOKING_RATIO: f64 = 0.9;
+const OVERBOOKING_RATIO: f64 = 1.5;
 
 /// Most by which the rate of all slots may exceed the rate served, as a ratio: endpoints may
 /// be listed that serve nothing.
@@ -76,6 +76,8 @@
     served: DecayedRate,
     refused: u64,
     bucket: Option<ShareBucket>,
+    /// What the organisation may send beyond its share.
+    overbooked: Option<ShareBucket>,
     /// The most urgent priority and when it was seen last.
     top_priority: Option<(u8, u64)>,
 }
@@ -269,16 +271,22 @@
         let total_per_s = own_per_s + division.others_per_s(arrival.organisation);
         if total_per_s <= division.level_per_s * (1.0 + TOLERANCE_RATIO) {
             organisation.bucket = None;
+            organisation.overbooked = None;
             return Decision::Admit(Standing::WithinShare);
         }
         let share_per_s = division.level_per_s * own_per_s / total_per_s;
-        let rate_per_s = share_per_s * (1.0 + OVERBOOKING_RATIO);
         let bucket = organisation
             .bucket
             .get_or_insert_with(|| ShareBucket::new(now));
-        if bucket.take(rank, rate_per_s, now) {
+        if bucket.take(rank, share_per_s, now) {
             return Decision::Admit(Standing::Limited);
         }
+        let overbooked = organisation
+            .overbooked
+            .get_or_insert_with(|| ShareBucket::new(now));
+        if overbooked.take(rank, share_per_s * OVERBOOKING_RATIO, now) {
+            return Decision::Admit(Standing::Overbooked);
+        }
         organisation.refused += 1;
         let retry_after_ms = bucket.retry_after_ms(share_per_s, draw, now);
         if let Some(key) = arrival.request_key {
--- a/crates/hemlockhitch_routing/src/shares/waiters.rs
+++ b/crates/hemlockhitch_routing/src/shares/waiters.rs
@@ -17,7 +17,7 @@
 const MAX_WAIT_MS: u64 = 400;
 
 /// The same for an organisation that is limited: it is refused soon instead.
-const MAX_LIMITED_WAIT_MS: u64 = 250;
+const MAX_LIMITED_WAIT_MS: u64 = 200;
 
 /// Position of a waiting request: by standing, priority, due time and arrival.
 pub type WaitKey = (Standing, u8, u64, u64);
@@ -56,7 +56,7 @@
         let left_ms = remaining_ms.checked_sub(self.held_ms as u64)?;
         let max_ms = match standing {
             Standing::WithinShare => MAX_WAIT_MS,
-            Standing::Limited => MAX_LIMITED_WAIT_MS,
+            Standing::Limited | Standing::Overbooked => MAX_LIMITED_WAIT_MS,
         };
         (left_ms > 0).then_some(left_ms.min(max_ms))
     }
