--- a/crates/hemlockhitch/src/gateway/derived.rs
+++ b/crates/hemlockhitch/src/gateway/derived.rs
@@ -62,6 +62,7 @@
             0
         })
         .memory_limit_bytes(bounds.memory_mb.map(memory_limit_bytes))
+        .shares(bounds.shares || hemlockhitch_adapter::calls_for_shares(&file.contracts))
         .max_in_flight(usize::try_from(bounds.in_flight).unwrap_or(usize::MAX))
 }
 
--- a/crates/hemlockhitch_config/src/settings/gateway.rs
+++ b/crates/hemlockhitch_config/src/settings/gateway.rs
@@ -26,6 +26,9 @@
     pub source_address: Option<IpAddr>,
     /// Address of the platform's key-value service: `platform.key_value`.
     pub key_value: SocketAddr,
+    /// Names of what the platform has agreed with its customers: `platform.contracts`,
+    /// separated by commas.
+    pub contracts: Vec<String>,
     /// Limits set by the platform: `[gateway]`.
     pub bounds: GatewayLimits,
     /// Logging options: `[log]`.
@@ -84,6 +87,8 @@
     pub in_flight: u64,
     /// Memory of the VM, in megabytes; `None` if requests and answers are not limited by it.
     pub memory_mb: Option<u64>,
+    /// Whether the capacity of services is divided fairly among organisations.
+    pub shares: bool,
 }
 
 /// Memory that a node needs itself, in megabytes: 13 when it is idle, and 32 for what it
@@ -122,6 +127,7 @@
     let peers = reader.address("listen", "peers");
     let metrics = reader.address("listen", "metrics");
     let key_value = reader.address("platform", "key_value");
+    let contracts = reader.list("platform", "contracts");
     let bounds = GatewayLimits {
         revoke_ms: reader.integer(&integer::REVOKE_MS),
         repeat_ratio: decimal::REPEAT_RATIO.read(reader),
@@ -139,6 +145,7 @@
         cores: decimal::CORES.read(reader),
         in_flight: reader.integer(&integer::GATEWAY_IN_FLIGHT),
         memory_mb: read_memory_mb(reader),
+        shares: reader.flag("gateway", "shares"),
     };
     let log = sections::read_log(reader);
     Some(GatewayFile {
@@ -152,6 +159,7 @@
             metrics: metrics?,
         },
         key_value: key_value?,
+        contracts,
         bounds,
         log,
     })
--- a/crates/hemlockhitch_gateway/src/attempt/admit.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/admit.rs
@@ -165,7 +165,7 @@
                 RETRY_AFTER_NODE_FULL_MS,
             )
         })?;
-        let ctx = RequestContext::new(received, route, organisation, service, in_flight_guard);
+        let mut ctx = RequestContext::new(received, route, organisation, service, in_flight_guard);
         let route_hash = hemlockhitch_routing::hash_bytes(&ctx.route.name);
         let memory = self.node_context.memory();
         if !memory.admits(route_hash, ctx.organisation_hash()) {
@@ -175,6 +175,7 @@
             let message = "endpoints crashed under this request; do not send it again";
             return Err(Refusal::new(StatusCode::BAD_GATEWAY, message));
         }
+        self.apply_share(&mut ctx)?;
         Ok(ctx)
     }
 }
--- a/crates/hemlockhitch_gateway/src/attempt/mod.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/mod.rs
@@ -20,6 +20,7 @@
 mod response;
 mod run;
 mod send;
+mod share;
 mod slot;
 mod stream;
 
--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -146,6 +146,7 @@
             node: settings.node.to_string(),
             loads: own_loads,
             leaving: self.node_context.leaving(),
+            demand: self.node_context.due_demand_report(),
         };
         let reply = match self.clients.follow(address, request).await {
             Ok(reply) => reply,
@@ -181,6 +182,7 @@
             .state()
             .fleet
             .merge_removed(reply.removed, now);
+        self.node_context.record_demand(reply.demand);
         self.store.observe_epoch(reply.batch.epoch);
         self.follower.apply_batch(
             &self.node_context,
--- a/crates/hemlockhitch_gateway/src/peer/client.rs
+++ b/crates/hemlockhitch_gateway/src/peer/client.rs
@@ -47,6 +47,8 @@
     /// Hashes of the endpoint instances that were removed recently, with the time since
     /// then in milliseconds.
     pub(crate) removed: Vec<(u64, u64)>,
+    /// Demand of other nodes.
+    pub(crate) demand: Vec<wire::DemandReport>,
 }
 
 /// Channels to the nodes that were called, by address.
@@ -142,5 +144,6 @@
         loads: super::server::loads_from_wire(reply.loads),
         leaving: reply.leaving,
         removed: removed.collect(),
+        demand: reply.demand,
     }
 }
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -23,7 +23,7 @@
 use tonic::body::Body;
 use tonic::{Request, Response, Status};
 
-use super::EndpointLoads;
+use super::{EndpointLoads, demand_from_wire};
 use crate::attempt::{Gateway, ResponseBody};
 use crate::connection;
 use crate::dialect::Dialect;
@@ -178,6 +178,7 @@
         let loads = loads_from_wire(std::mem::take(&mut request.loads));
         self.node_context.record_loads(&request.node, loads);
         self.node_context.merge_leaving(&request.leaving);
+        let follower_demand = request.demand.take().and_then(demand_from_wire);
         let known = StorePosition {
             epoch: request.epoch,
             revision: request.revision,
@@ -208,6 +209,9 @@
         };
         let mut reply = write_reply(batch, age_ms, &loads, leaving);
         reply.removed = removed_to_wire(removed);
+        if let Some(report) = follower_demand {
+            reply.demand = self.node_context.answer_demand(report);
+        }
         Ok(Response::new(reply))
     }
 
@@ -254,6 +258,7 @@
         epoch: batch.epoch,
         leaving,
         removed: Vec::new(),
+        demand: Vec::new(),
     }
 }
 
--- a/crates/hemlockhitch_gateway/src/settings.rs
+++ b/crates/hemlockhitch_gateway/src/settings.rs
@@ -53,6 +53,8 @@
     pub max_in_flight: usize,
     /// Bytes that the node may hold for requests and answers; `None` sets no limit.
     pub memory_limit_bytes: Option<u64>,
+    /// Whether the capacity of services is divided fairly among organisations.
+    pub shares: bool,
 }
 
 impl GatewaySettings {
@@ -83,6 +85,7 @@
             probes_per_s: 0.0,
             max_in_flight: 1_000,
             memory_limit_bytes: None,
+            shares: false,
         }
     }
 
@@ -229,4 +232,11 @@
         self.memory_limit_bytes = memory_limit_bytes;
         self
     }
+
+    /// Sets whether the capacity of services is divided fairly among organisations.
+    #[must_use]
+    pub fn shares(mut self, shares: bool) -> Self {
+        self.shares = shares;
+        self
+    }
 }
