Let escalations depend on the retry budget, and short prompts start at the largest model

Change: the threshold falls from 65 percent to none while the used part of the budget goes from 0.6 to 0.9; the extra over 50 percent ends with pressure. Prompts of a quarter of the mean length start at the largest model while there is room. Only with gateway.adaptive_models, which the platform's list of contracts turns on.

--- a/crates/hemlockhitch/src/gateway/derived.rs
+++ b/crates/hemlockhitch/src/gateway/derived.rs
@@ -56,6 +56,10 @@
             0
         })
         .shares(bounds.shares || hemlockhitch_adapter::calls_for_shares(&file.contracts))
+        .adaptive_models(
+            bounds.adaptive_models
+                || hemlockhitch_adapter::calls_for_adaptive_models(&file.contracts),
+        )
         .max_in_flight(usize::try_from(bounds.in_flight).unwrap_or(usize::MAX))
 }
 
--- a/crates/hemlockhitch_config/src/settings/gateway.rs
+++ b/crates/hemlockhitch_config/src/settings/gateway.rs
@@ -85,6 +85,8 @@
     pub in_flight: u64,
     /// Whether the capacity of services is divided fairly among organisations.
     pub shares: bool,
+    /// Whether the choice of the model depends on the retry budget and the prompt's length.
+    pub adaptive_models: bool,
 }
 
 impl GatewayFile {
@@ -133,6 +135,7 @@
         cores: decimal::CORES.read(reader),
         in_flight: reader.integer(&integer::GATEWAY_IN_FLIGHT),
         shares: reader.flag("gateway", "shares"),
+        adaptive_models: reader.flag("gateway", "adaptive_models"),
     };
     let log = sections::read_log(reader);
     Some(GatewayFile {
--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use hemlockhitch_model::Clock;
-use hemlockhitch_routing::cascade::{ConfidenceGains, EscalationInput, next_size};
+use hemlockhitch_routing::cascade::{
+    ConfidenceGains, EscalationInput, Threshold, first_size, next_size,
+};
 use hemlockhitch_routing::retry::{Final, Seen, Verdict, decide_retry};
 use http::Response;
 use tokio::time::timeout_at;
@@ -18,10 +20,6 @@
 use crate::dialect::Dialect;
 use crate::telemetry;
 
-/// Share of the retry budget that escalations to larger models may use; the rest is
-/// reserved for failures.
-const ESCALATION_BUDGET_RATIO: f64 = 0.75;
-
 /// Response timeout of an attempt, as a ratio of the request's timeout: it determines
 /// how many attempts fit into that.
 const RESPONSE_TIMEOUT_RATIO: f64 = 0.35;
@@ -45,6 +43,8 @@
             // The model that produced the first part is not known, so the largest is
             // used.
             history.model_size = ctx.route.sizes.len().saturating_sub(1);
+        } else {
+            history.model_size = self.first_model_size(&ctx);
         }
         match timeout_at(ctx.deadline, self.run_attempts(&ctx, &mut history)).await {
             Ok(Ok(OpenedResponse::Buffered(buffered))) => buffered_response(buffered),
@@ -200,6 +200,21 @@
             && !state.crash_tracker.is_blocked(ctx.traits())
     }
 
+    /// Returns the index of the model that a request is sent to first.
+    fn first_model_size(&self, ctx: &RequestContext<D, C>) -> usize {
+        let size_count = ctx.route.sizes.len();
+        if !self.node_context.settings().adaptive_models || size_count < 2 {
+            return 0;
+        }
+        let mut state = self.node_context.state();
+        let state = &mut *state;
+        let tokens = ctx.metadata.prompt_tokens;
+        let lengths = state.prompt_lengths.entry(ctx.service.clone()).or_default();
+        lengths.record(tokens);
+        let pressure = state.pressure.entry(ctx.service.clone()).or_default();
+        first_size(size_count, tokens, lengths, pressure)
+    }
+
     /// Returns the index of a larger model to try instead of relaying an accepted
     /// response.
     fn larger_model_size(
@@ -217,30 +232,35 @@
         let unknown_gains = ConfidenceGains::default();
         let gains = state.gains.get(&ctx.service).unwrap_or(&unknown_gains);
         let pressure = state.pressure.get(&ctx.service)?;
+        let settings = self.node_context.settings();
+        let used_budget_ratio = state.retry_budgets.get(&ctx.service).map_or(0.0, |budget| {
+            budget.used_ratio(settings.retry_budget, state.node_count(), now)
+        });
         let input = EscalationInput {
             size: history.model_size,
             size_count: ctx.route.sizes.len(),
             confidence_percent: accepted.confidence_percent,
             cost_tokens: ctx.cost_tokens(),
             remaining_to_slo_ms: ctx.remaining_to_slo_ms(now),
+            used_budget_ratio,
+            threshold: if settings.adaptive_models {
+                Threshold::ByBudget
+            } else {
+                Threshold::Fixed
+            },
         };
         let larger = next_size(input, pressure, gains, now)?;
-        let settings = self.node_context.settings().retry_budget;
-        let used_ratio = state.retry_budgets.get(&ctx.service).map_or(0.0, |budget| {
-            budget.used_ratio(settings, state.node_count(), now)
-        });
-        let within_budget = used_ratio < ESCALATION_BUDGET_RATIO;
         tracing::info!(
             event = "HH1223",
             request = ctx.metadata.request_id,
             endpoint = ?history.tried.last(),
             confidence_percent = accepted.confidence_percent,
-            used_ratio,
-            within_budget,
+            used_budget_ratio,
+            latency_ratio = pressure.latency_ratio(),
             size = larger,
-            "escalation to a larger model considered"
+            "escalation to a larger model"
         );
-        within_budget.then_some(larger)
+        Some(larger)
     }
 }
 
--- a/crates/hemlockhitch_gateway/src/settings.rs
+++ b/crates/hemlockhitch_gateway/src/settings.rs
@@ -51,6 +51,9 @@
     pub max_in_flight: usize,
     /// Whether the capacity of services is divided fairly among organisations.
     pub shares: bool,
+    /// Whether the choice of the model depends on the retry budget and on the length of the
+    /// prompt.
+    pub adaptive_models: bool,
 }
 
 impl GatewaySettings {
@@ -80,6 +83,7 @@
             max_endpoint_pause_ms: 60_000,
             max_in_flight: 1_000,
             shares: false,
+            adaptive_models: false,
         }
     }
 
@@ -219,4 +223,12 @@
         self.shares = shares;
         self
     }
+
+    /// Sets whether the choice of the model depends on the retry budget and on the length of
+    /// the prompt.
+    #[must_use]
+    pub fn adaptive_models(mut self, adaptive_models: bool) -> Self {
+        self.adaptive_models = adaptive_models;
+        self
+    }
 }
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -11,7 +11,7 @@
 
 use hemlockhitch_model::{Clock, Now, ServiceName, StorePosition};
 use hemlockhitch_ports::key_value::LeaseId;
-use hemlockhitch_routing::cascade::{ConfidenceGains, LatencyPressure};
+use hemlockhitch_routing::cascade::{ConfidenceGains, LatencyPressure, PromptLengths};
 use hemlockhitch_routing::catalogue::{Catalogue, Service};
 use hemlockhitch_routing::crash_tracker::{CrashTracker, Evidence, Suspect};
 use hemlockhitch_routing::fleet::Fleet;
@@ -76,6 +76,8 @@
     pub pressure: HashMap<ServiceName, LatencyPressure>,
     /// How long the prefill of recent prompts takes, by service.
     pub work_ranks: HashMap<ServiceName, WorkRanks>,
+    /// How long prompts are, by service.
+    pub prompt_lengths: HashMap<ServiceName, PromptLengths>,
     /// What escalations to larger models gained, by service.
     pub gains: HashMap<ServiceName, ConfidenceGains>,
     /// Stages of roll-outs as the store holds them, with the position at which the key
@@ -119,6 +121,7 @@
             retry_budgets: HashMap::new(),
             pressure: HashMap::new(),
             work_ranks: HashMap::new(),
+            prompt_lengths: HashMap::new(),
             gains: HashMap::new(),
             stages: HashMap::new(),
             published_status: HashMap::new(),
--- a/crates/hemlockhitch_routing/src/cascade/mod.rs
+++ b/crates/hemlockhitch_routing/src/cascade/mod.rs
@@ -5,8 +5,10 @@
 //! threshold falls under load, because larger models take more of an endpoint's time.
 
 mod gain;
+mod scarcity;
 
 pub use gain::{ConfidenceGains, Step};
+pub use scarcity::{PromptLengths, first_size};
 
 use hemlockhitch_model::Now;
 
@@ -14,6 +16,10 @@
 /// responses that a small model considers poor have a lower confidence.
 const MAX_THRESHOLD_PERCENT: f64 = 50.0;
 
+/// Used part of the retry budget from which no request escalates by the fixed threshold;
+/// the rest is reserved for failures.
+const MAX_USED_RATIO: f64 = 0.75;
+
 /// Pressure up to which the confidence threshold is not reduced.
 const LOW_PRESSURE_RATIO: f64 = 0.2;
 
@@ -93,14 +99,40 @@
     pub cost_tokens: u64,
     /// Time left until the latency objective, in milliseconds.
     pub remaining_to_slo_ms: u64,
+    /// Used part of the retry budget, which escalations draw on.
+    pub used_budget_ratio: f64,
+    /// How the threshold depends on the budget.
+    pub threshold: Threshold,
+}
+
+/// How the confidence threshold depends on the retry budget.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Threshold {
+    /// The same threshold until three quarters of the budget are used.
+    #[default]
+    Fixed,
+    /// A higher threshold that falls as the budget is used.
+    ByBudget,
+}
+
+impl Threshold {
+    /// Returns the confidence below which a request escalates without pressure, in percent.
+    fn percent(self, used_budget_ratio: f64, pressure: &LatencyPressure) -> f64 {
+        match self {
+            Self::Fixed if used_budget_ratio < MAX_USED_RATIO => MAX_THRESHOLD_PERCENT,
+            Self::Fixed => 0.0,
+            Self::ByBudget => scarcity::threshold_percent(used_budget_ratio, pressure),
+        }
+    }
 }
 
-/// Returns the confidence below which a request escalates, in percent.
+/// Returns the confidence below which a request escalates, in percent, where it is
+/// `max_percent` without pressure.
 #[must_use]
-pub fn escalation_threshold_percent(pressure: &LatencyPressure) -> f64 {
+pub fn escalation_threshold_percent(pressure: &LatencyPressure, max_percent: f64) -> f64 {
     let excess = (pressure.latency_ratio() - LOW_PRESSURE_RATIO)
         / (HIGH_PRESSURE_RATIO - LOW_PRESSURE_RATIO);
-    MAX_THRESHOLD_PERCENT * (1.0 - excess.clamp(0.0, 1.0))
+    max_percent * (1.0 - excess.clamp(0.0, 1.0))
 }
 
 /// Returns the model size to escalate to, or `None` if the response is kept. It is the
@@ -118,18 +150,21 @@
 ) -> Option<usize> {
     let largest = input.size_count.checked_sub(1)?;
     let confidence_percent = input.confidence_percent?;
+    let max_percent = input.threshold.percent(input.used_budget_ratio, pressure);
+    let sufficient_percent = max_percent.max(MAX_THRESHOLD_PERCENT);
     let suffices = |to: &usize| {
         let step = Step {
             from: input.size,
             to: *to,
         };
         gains.expected_percent(step, input.size_count, confidence_percent, now)
-            >= MAX_THRESHOLD_PERCENT
+            >= sufficient_percent
     };
     let size = (input.size + 1..largest).find(suffices).unwrap_or(largest);
     let is_late = pressure.predict_first_event_ms(size, input.cost_tokens)
         > as_f64(input.remaining_to_slo_ms);
-    let is_below_threshold = f64::from(confidence_percent) < escalation_threshold_percent(pressure);
+    let threshold_percent = escalation_threshold_percent(pressure, max_percent);
+    let is_below_threshold = f64::from(confidence_percent) < threshold_percent;
     (input.size < largest && is_below_threshold && !is_late).then_some(size)
 }
 
--- a/crates/hemlockhitch_routing/tests/cascade.rs
+++ b/crates/hemlockhitch_routing/tests/cascade.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use hemlockhitch_routing::cascade::{
-    ConfidenceGains, EscalationInput, FirstEventSample, LatencyPressure, Step,
-    escalation_threshold_percent,
+    ConfidenceGains, EscalationInput, FirstEventSample, LatencyPressure, PromptLengths, Step,
+    Threshold, escalation_threshold_percent, first_size,
 };
 use support::at;
 
@@ -21,6 +21,8 @@
         confidence_percent,
         cost_tokens: 9_000,
         remaining_to_slo_ms: 1_800,
+        used_budget_ratio: 0.0,
+        threshold: Threshold::Fixed,
     }
 }
 
@@ -60,7 +62,7 @@
 #[test]
 fn larger_models_are_asked_less_under_pressure() {
     let thresholds: Vec<f64> = [100, 500, 900, 1_300, 2_500]
-        .map(|took_ms| escalation_threshold_percent(&pressure_after(took_ms)))
+        .map(|took_ms| escalation_threshold_percent(&pressure_after(took_ms), 50.0))
         .into();
     assert!(
         thresholds.windows(2).all(|pair| pair[0] >= pair[1]),
@@ -136,3 +138,93 @@
     assert!(expected(40) < 45.0);
     assert!(expected(600_000) > 50.0);
 }
+
+/// Guards against a change of deployments that keep the fixed threshold.
+#[test]
+fn fixed_threshold_leaves_a_quarter_of_the_budget_to_failures() {
+    let low_pressure = pressure_after(100);
+    let at_use = |used_budget_ratio| EscalationInput {
+        used_budget_ratio,
+        ..input(0, Some(49))
+    };
+    assert_eq!(next_size(at_use(0.74), &low_pressure), Some(2));
+    assert_eq!(next_size(at_use(0.75), &low_pressure), None);
+    assert_eq!(next_size(input(0, Some(50)), &low_pressure), None);
+}
+
+/// Load: more poor responses than the budget allows escalations. Guards against escalations
+/// that go to whoever comes first, so that the least confident responses are kept.
+#[test]
+fn scarce_escalations_go_to_the_least_confident_responses() {
+    let low_pressure = pressure_after(100);
+    let mut used = 0.0_f64;
+    let mut escalated_by_decile = [0_u32; 10];
+    let mut asked_by_decile = [0_u32; 10];
+    for index in 0..20_000_u64 {
+        let confidence_percent = u8::try_from(hemlockhitch_routing::mix(index, 3) % 100);
+        let confidence_percent = confidence_percent.expect("a percentage");
+        // The budget regains 0.3 escalations with each request, and holds 300.
+        used = (used - 0.3).max(0.0);
+        let input = EscalationInput {
+            used_budget_ratio: used / 300.0,
+            threshold: Threshold::ByBudget,
+            ..input(0, Some(confidence_percent))
+        };
+        let decile = usize::from(confidence_percent / 10);
+        asked_by_decile[decile] += 1;
+        if next_size(input, &low_pressure).is_some() {
+            used += 1.0;
+            escalated_by_decile[decile] += 1;
+        }
+    }
+    let ratios: Vec<u32> = escalated_by_decile
+        .iter()
+        .zip(asked_by_decile)
+        .map(|(escalated, asked)| escalated * 100 / asked)
+        .collect();
+    assert!(ratios[0] >= 95 && ratios[1] >= 95, "{ratios:?}");
+    assert!(
+        ratios.windows(2).all(|pair| pair[0] + 3 >= pair[1]),
+        "{ratios:?}"
+    );
+    assert!(ratios[6] <= 20 && ratios[7] == 0, "{ratios:?}");
+    let total: u32 = escalated_by_decile.iter().sum();
+    assert!(total >= 20_000 * 28 / 100, "the budget is used, {total}");
+}
+
+#[test]
+fn no_escalation_takes_what_is_reserved_for_failures() {
+    let input = EscalationInput {
+        used_budget_ratio: 0.9,
+        threshold: Threshold::ByBudget,
+        ..input(0, Some(0))
+    };
+    assert_eq!(next_size(input, &pressure_after(100)), None);
+}
+
+/// Load: long prompts and a few that are a tenth as long. Guards against long prompts, or any
+/// under pressure, that take the largest model's time without need.
+#[test]
+fn only_short_prompts_start_at_the_largest_model_and_none_under_pressure() {
+    let mut lengths = PromptLengths::default();
+    for index in 0..400 {
+        lengths.record(if index % 8 == 0 { 700 } else { 7_000 });
+    }
+    let low_pressure = pressure_after(100);
+    assert_eq!(first_size(3, 700, &lengths, &low_pressure), 2);
+    assert_eq!(first_size(3, 3_000, &lengths, &low_pressure), 0);
+    assert_eq!(first_size(3, 700, &lengths, &pressure_after(1_500)), 0);
+    assert_eq!(
+        first_size(3, 700, &PromptLengths::default(), &low_pressure),
+        0
+    );
+    let mut alike = PromptLengths::default();
+    for _ in 0..400 {
+        alike.record(700);
+    }
+    assert_eq!(
+        first_size(3, 700, &alike, &low_pressure),
+        0,
+        "none is short"
+    );
+}
