--- a/crates/hemlockhitch_gateway/src/settings.rs
+++ b/crates/hemlockhitch_gateway/src/settings.rs
@@ -55,6 +55,9 @@
     pub memory_limit_bytes: Option<u64>,
     /// Whether the capacity of services is divided fairly among organisations.
     pub shares: bool,
+    /// Whether the choice of the model depends on the retry budget and on the length of the
+    /// prompt.
+    pub adaptive_models: bool,
 }
 
 impl GatewaySettings {
@@ -86,6 +89,7 @@
             max_in_flight: 1_000,
             memory_limit_bytes: None,
             shares: false,
+            adaptive_models: false,
         }
     }
 
@@ -239,4 +243,12 @@
         self.shares = shares;
         self
     }
+
+    /// Sets whether the choice of the model depends on the retry budget and on the length of
+    /// the prompt.
+    #[must_use]
+    pub fn adaptive_models(mut self, adaptive_models: bool) -> Self {
+        self.adaptive_models = adaptive_models;
+        self
+    }
 }
