Do not let requests wait for a slot where the node holds none

Cause: while endpoints are full, a request of an organisation within its share waited for a slot that its own node releases. At a node that has no request at the service none is released, so the wait only ended by its limit. Change: such a request is sent at once.

--- a/crates/hemlockhitch_gateway/src/attempt/share.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/share.rs
@@ -157,6 +157,14 @@
         if !is_crowded {
             return None;
         }
+        // Where this node holds no slot, the wait would end by its time limit.
+        let holds_slot = state
+            .fleet
+            .of_service(&ctx.service)
+            .any(|(_, endpoint)| endpoint.in_flight > 0);
+        if standing == Standing::WithinShare && !holds_slot {
+            return None;
+        }
         let waiters = state.fair_shares.waiters(&ctx.service);
         let max_wait_ms = waiters.max_wait_ms(standing, remaining_ms)?;
         let (sender, freed) = oneshot::channel();
