Let long prompts escalate at low confidence alone

Change: what is added to the threshold while endpoints have room counts for prompts up to the mean length.

--- a/crates/hemlockhitch_gateway/src/attempt/run.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/run.rs
@@ -249,6 +249,10 @@
             } else {
                 Threshold::Fixed
             },
+            has_long_prompt: state
+                .prompt_lengths
+                .get(&ctx.service)
+                .is_some_and(|lengths| lengths.is_long(ctx.metadata.prompt_tokens)),
         };
         let larger = next_size(input, pressure, gains, now)?;
         tracing::info!(
--- a/crates/hemlockhitch_routing/src/cascade/mod.rs
+++ b/crates/hemlockhitch_routing/src/cascade/mod.rs
@@ -103,6 +103,8 @@
     pub used_budget_ratio: f64,
     /// How the threshold depends on the budget.
     pub threshold: Threshold,
+    /// Whether the prompt is longer than the mean of its service.
+    pub has_long_prompt: bool,
 }
 
 /// How the confidence threshold depends on the retry budget.
@@ -117,11 +119,15 @@
 
 impl Threshold {
     /// Returns the confidence below which a request escalates without pressure, in percent.
-    fn percent(self, used_budget_ratio: f64, pressure: &LatencyPressure) -> f64 {
+    fn percent(self, input: EscalationInput, pressure: &LatencyPressure) -> f64 {
         match self {
-            Self::Fixed if used_budget_ratio < MAX_USED_RATIO => MAX_THRESHOLD_PERCENT,
+            Self::Fixed if input.used_budget_ratio < MAX_USED_RATIO => MAX_THRESHOLD_PERCENT,
             Self::Fixed => 0.0,
-            Self::ByBudget => scarcity::threshold_percent(used_budget_ratio, pressure),
+            Self::ByBudget => scarcity::threshold_percent(
+                input.used_budget_ratio,
+                input.has_long_prompt,
+                pressure,
+            ),
         }
     }
 }
@@ -150,7 +156,7 @@
 ) -> Option<usize> {
     let largest = input.size_count.checked_sub(1)?;
     let confidence_percent = input.confidence_percent?;
-    let max_percent = input.threshold.percent(input.used_budget_ratio, pressure);
+    let max_percent = input.threshold.percent(input, pressure);
     let sufficient_percent = max_percent.max(MAX_THRESHOLD_PERCENT);
     let suffices = |to: &usize| {
         let step = Step {
--- a/crates/hemlockhitch_routing/src/cascade/scarcity.rs
+++ b/crates/hemlockhitch_routing/src/cascade/scarcity.rs
@@ -10,8 +10,9 @@
 /// Confidence below which a request escalates while the budget is little used, in percent.
 const BASE_THRESHOLD_PERCENT: f64 = 50.0;
 
-/// Added to it while endpoints have room, in percent: some of these responses are poor, but
-/// fewer than below it.
+/// Added to it for prompts up to the mean length while endpoints have room, in percent: some
+/// of these responses are poor, but fewer than below it. Longer prompts would take more of
+/// the largest model's time than that is worth to those that wait behind them.
 const EXTRA_THRESHOLD_PERCENT: f64 = 15.0;
 
 /// Pressure up to which all of the extra counts.
@@ -52,6 +53,13 @@
         self.mean_tokens = Some(mean + (tokens - mean) * EWMA_WEIGHT);
     }
 
+    /// Returns whether a prompt of this length, in tokens, exceeds the mean of its service.
+    #[must_use]
+    pub fn is_long(&self, tokens: u64) -> bool {
+        self.mean_tokens
+            .is_some_and(|mean| super::as_f64(tokens) > mean)
+    }
+
     /// Returns whether a prompt of this length, in tokens, is short for its service.
     #[must_use]
     pub fn is_short(&self, tokens: u64) -> bool {
@@ -79,10 +87,18 @@
 
 /// Returns the confidence below which a request escalates when this part of the retry
 /// budget is used, in percent; more pressure than counts here reduces it further.
-pub(super) fn threshold_percent(used_ratio: f64, pressure: &LatencyPressure) -> f64 {
+pub(super) fn threshold_percent(
+    used_ratio: f64,
+    has_long_prompt: bool,
+    pressure: &LatencyPressure,
+) -> f64 {
     let used = (used_ratio - LOW_USE_RATIO) / (HIGH_USE_RATIO - LOW_USE_RATIO);
     let pressed = (pressure.latency_ratio() - LOW_PRESSURE_RATIO)
         / (HIGH_PRESSURE_RATIO - LOW_PRESSURE_RATIO);
-    let extra_percent = EXTRA_THRESHOLD_PERCENT * (1.0 - pressed.clamp(0.0, 1.0));
+    let extra_percent = if has_long_prompt {
+        0.0
+    } else {
+        EXTRA_THRESHOLD_PERCENT * (1.0 - pressed.clamp(0.0, 1.0))
+    };
     (BASE_THRESHOLD_PERCENT + extra_percent) * (1.0 - used.clamp(0.0, 1.0))
 }
--- a/crates/hemlockhitch_routing/tests/cascade.rs
+++ b/crates/hemlockhitch_routing/tests/cascade.rs
@@ -23,6 +23,7 @@
         remaining_to_slo_ms: 1_800,
         used_budget_ratio: 0.0,
         threshold: Threshold::Fixed,
+        has_long_prompt: false,
     }
 }
 
@@ -192,6 +193,20 @@
     assert!(total >= 20_000 * 28 / 100, "the budget is used, {total}");
 }
 
+/// Guards against long prompts that escalate at a fair confidence and make each other late.
+#[test]
+fn long_prompts_escalate_at_low_confidence_alone() {
+    let low_pressure = pressure_after(100);
+    let at = |confidence_percent, has_long_prompt| EscalationInput {
+        threshold: Threshold::ByBudget,
+        has_long_prompt,
+        ..input(0, Some(confidence_percent))
+    };
+    assert_eq!(next_size(at(60, false), &low_pressure), Some(2));
+    assert_eq!(next_size(at(60, true), &low_pressure), None);
+    assert_eq!(next_size(at(45, true), &low_pressure), Some(2));
+}
+
 #[test]
 fn no_escalation_takes_what_is_reserved_for_failures() {
     let input = EscalationInput {
