--- a/crates/hemlockhitch_gateway/src/attempt/probe.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/probe.rs
@@ -21,8 +21,8 @@
 /// health path at once, so that a slower one has more wrong with it than slow work.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(25);
 
-/// Maximum number of probes before an attempt. After two endpoints that turned out to be
-/// slow, the request goes to the best one known.
+/// Maximum number of probes before an attempt. After two slow
+/// endpoints, the request goes to the best one known.
 const MAX_PROBES: usize = 2;
 
 /// Hash in place of that of a request's id, which a probe does not have.
--- a/crates/hemlockhitch_gateway/src/connection/mod.rs
+++ b/crates/hemlockhitch_gateway/src/connection/mod.rs
@@ -95,7 +95,7 @@
     /// head has arrived. `request_hash` is the hash of the id that the response repeats.
     ///
     /// The other end may send a surplus response late, so that it looks like the response to
-    /// the next request on the connection. Callers tell it by its id, and no request is sent
+    /// the next request on the connection. Callers compare its id, and no request is sent
     /// on a connection whose last request had the same id.
     pub(crate) async fn send(
         &self,
--- a/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
+++ b/crates/hemlockhitch_gateway/src/gen/hemlockhitch.feed.rs
@@ -64,15 +64,15 @@
     #[prost(uint32, tag = "2")]
     pub age_ms: u32,
 }
-/// Demand for services that a node measured, or summed over the nodes that follow it.
+/// Demand for services at a node, or the sum over the nodes that follow it.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct DemandReport {
-    /// Hash of the name of the node that measured or summed the demand.
+    /// Hash of the name of the node that created the report.
     #[prost(fixed64, tag = "1")]
     pub origin: u64,
     #[prost(enumeration = "demand_report::Scope", tag = "2")]
     pub scope: i32,
-    /// Time since it was measured.
+    /// Age of the report.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
     #[prost(message, repeated, tag = "4")]
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -105,7 +105,7 @@
         tracing::debug!(event = "HH1262", %error, "failed to configure a peer's connection");
         return;
     }
-    // The feed's calls wait for news; a stopping node waits for passed requests alone.
+    // Feed calls are long polls; a stopping node waits only for passed requests.
     let passed = OnceLock::new();
     let service = service_fn(|request: http::Request<Incoming>| {
         if request.version() != Version::HTTP_2 {
--- a/crates/hemlockhitch_gateway/src/state/shares.rs
+++ b/crates/hemlockhitch_gateway/src/state/shares.rs
@@ -96,7 +96,7 @@
         &mut self.service(service).waiters
     }
 
-    /// Records that a slot was released, and tells the request that comes first.
+    /// Records that a slot was released, and notifies the first waiting request.
     pub(crate) fn hand_over(
         &mut self,
         service: &ServiceName,
--- a/crates/hemlockhitch_routing/src/crash_tracker/mod.rs
+++ b/crates/hemlockhitch_routing/src/crash_tracker/mod.rs
@@ -112,7 +112,7 @@
     }
 
     /// Shares the crash of an instance with other nodes, or withdraws it if this node
-    /// reaches no endpoint, so that it cannot tell a crash from its own failure.
+    /// reaches no endpoint, because the cause may be its own connectivity.
     pub fn resolve_crash(
         &mut self,
         request: RequestTraits<'_>,
--- a/crates/hemlockhitch_routing/src/shares/exchange.rs
+++ b/crates/hemlockhitch_routing/src/shares/exchange.rs
@@ -101,7 +101,7 @@
     pub origin: u64,
     /// Whose demand it is.
     pub scope: Scope,
-    /// Time since it was measured, in milliseconds.
+    /// Age of the report, in milliseconds.
     pub age_ms: u64,
     /// The demand.
     pub services: DemandByService,
