Log failed feed calls with what arrived, and the delay of configurations

Change: HH1261 is logged at level info with the duration and the bytes received, which connections to nodes count; HH1201 states how old the replaced copy was, as a bound on the delay of the version. Both have metrics.

--- a/crates/hemlockhitch_gateway/src/feed/apply.rs
+++ b/crates/hemlockhitch_gateway/src/feed/apply.rs
@@ -89,7 +89,9 @@
 ) {
     let mut state = node_context.state();
     match (subject, value) {
-        (Subject::Catalogue, StoredValue::Catalogue(catalogue)) => state.set_catalogue(*catalogue),
+        (Subject::Catalogue, StoredValue::Catalogue(catalogue)) => {
+            state.set_catalogue(*catalogue, now);
+        }
         (Subject::Endpoint(_), StoredValue::Endpoint(entry)) => {
             let name = entry.name.clone();
             let draining = entry.draining;
--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -22,7 +22,7 @@
 use crate::dialect::Dialect;
 use crate::peer::{FeedClients, loads_to_wire};
 use crate::state::NodeContext;
-use crate::wire;
+use crate::{telemetry, wire};
 
 /// Prefix of every key: a single watch covers all that a node follows.
 const ALL_KEYS: &str = "";
@@ -151,8 +151,11 @@
         let reply = match self.clients.follow(address, request).await {
             Ok(reply) => reply,
             Err(error) => {
-                tracing::debug!(event = "HH1261", %error, "failed to follow a peer");
                 let now = self.node_context.now();
+                let age_ms = self.node_context.state().freshness.age_ms(now);
+                let (took_ms, received_bytes) = (error.took_ms, error.received_bytes);
+                tracing::info!(event = "HH1261", %error, took_ms, received_bytes, ?age_ms, "failed to follow a peer");
+                telemetry::count_failed_feed_call(received_bytes);
                 let has_knowledge = position.revision > 0;
                 self.selector
                     .record_unreachable(address, has_knowledge, now);
--- a/crates/hemlockhitch_gateway/src/peer/client.rs
+++ b/crates/hemlockhitch_gateway/src/peer/client.rs
@@ -5,10 +5,12 @@
 
 use hemlockhitch_ports::key_value::{Entry, WatchBatch};
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tonic::transport::{Channel, Endpoint};
+use tower::service_fn;
 
 use super::EndpointLoads;
+use super::counted_stream::{self, ReceivedBytes};
 use crate::wire;
 use crate::wire::feed_client::FeedClient;
 
@@ -31,6 +33,10 @@
 pub(crate) struct FeedError {
     address: String,
     detail: String,
+    /// How long the call took, in milliseconds.
+    pub(crate) took_ms: u64,
+    /// Bytes that arrived meanwhile.
+    pub(crate) received_bytes: u64,
 }
 
 /// The reply of another node.
@@ -54,24 +60,33 @@
 /// Channels to the nodes that were called, by address.
 #[derive(Debug, Default)]
 pub(crate) struct PeerChannels {
-    channels: HashMap<String, Channel>,
+    channels: HashMap<String, (Channel, ReceivedBytes)>,
 }
 
 impl PeerChannels {
     /// Returns the channel to a node, which connects with the first call; `None` if the
     /// address is invalid.
     pub(crate) fn get(&mut self, address: &str) -> Option<Channel> {
-        if let Some(channel) = self.channels.get(address) {
-            return Some(channel.clone());
+        self.get_counted(address).map(|(channel, _)| channel)
+    }
+
+    /// The same with the number of bytes received over the channel.
+    fn get_counted(&mut self, address: &str) -> Option<(Channel, ReceivedBytes)> {
+        if let Some(counted) = self.channels.get(address) {
+            return Some(counted.clone());
         }
-        let endpoint = Endpoint::from_shared(format!("http://{address}"));
+        let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+        let received = ReceivedBytes::default();
+        let connect = {
+            let received = received.clone();
+            move |uri| counted_stream::connect(uri, received.clone())
+        };
         let channel = endpoint
-            .ok()?
             .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
-            .connect_lazy();
-        self.channels.insert(address.to_owned(), channel.clone());
-        Some(channel)
+            .connect_with_connector_lazy(service_fn(connect));
+        let counted = (channel, received);
+        self.channels.insert(address.to_owned(), counted.clone());
+        Some(counted)
     }
 
     /// Closes the channel to a node.
@@ -93,34 +108,40 @@
         address: &str,
         request: wire::FollowRequest,
     ) -> Result<FeedReply, FeedError> {
-        let result = self.call(address, request).await;
+        let started = Instant::now();
+        let counted = self.channels.get_counted(address);
+        let (channel, received) = counted.ok_or_else(|| FeedError {
+            address: address.to_owned(),
+            detail: "the address is invalid".to_owned(),
+            took_ms: 0,
+            received_bytes: 0,
+        })?;
+        let received_before = received.get();
+        let result = call(channel, request).await;
         if result.is_err() {
             self.channels.remove(address);
         }
         result.map_err(|detail| FeedError {
             address: address.to_owned(),
             detail,
+            took_ms: u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX),
+            received_bytes: received.get() - received_before,
         })
     }
+}
 
-    async fn call(
-        &mut self,
-        address: &str,
-        request: wire::FollowRequest,
-    ) -> Result<FeedReply, String> {
-        let channel = self.channels.get(address).ok_or("the address is invalid")?;
-        let mut client = FeedClient::new(channel).max_decoding_message_size(MAX_REPLY_BYTES);
-        let margin = if request.revision == 0 {
-            COMPLETE_CALL_MARGIN
-        } else {
-            CALL_MARGIN
-        };
-        let call_timeout = margin + Duration::from_millis(request.wait_ms);
-        match timeout(call_timeout, client.follow(request)).await {
-            Ok(Ok(reply)) => Ok(read_reply(reply.into_inner())),
-            Ok(Err(status)) => Err(status.message().to_owned()),
-            Err(_) => Err("timed out".to_owned()),
-        }
+async fn call(channel: Channel, request: wire::FollowRequest) -> Result<FeedReply, String> {
+    let mut client = FeedClient::new(channel).max_decoding_message_size(MAX_REPLY_BYTES);
+    let margin = if request.revision == 0 {
+        COMPLETE_CALL_MARGIN
+    } else {
+        CALL_MARGIN
+    };
+    let call_timeout = margin + Duration::from_millis(request.wait_ms);
+    match timeout(call_timeout, client.follow(request)).await {
+        Ok(Ok(reply)) => Ok(read_reply(reply.into_inner())),
+        Ok(Err(status)) => Err(status.message().to_owned()),
+        Err(_) => Err("timed out".to_owned()),
     }
 }
 
--- a/crates/hemlockhitch_gateway/src/peer/mod.rs
+++ b/crates/hemlockhitch_gateway/src/peer/mod.rs
@@ -2,6 +2,7 @@
 //! calls do not grow with the number of nodes.
 
 mod client;
+mod counted_stream;
 mod demand;
 mod loads;
 mod mirror;
--- a/crates/hemlockhitch_gateway/src/state/mod.rs
+++ b/crates/hemlockhitch_gateway/src/state/mod.rs
@@ -30,7 +30,7 @@
 use crate::memory::MemoryAccount;
 use crate::peer::{LoadTable, Mirror};
 use crate::settings::GatewaySettings;
-use crate::telemetry::OrganisationLabels;
+use crate::telemetry::{self, OrganisationLabels};
 use shares::FairShares;
 
 /// Requests that wait for a slot at the endpoints of a service.
@@ -137,14 +137,19 @@
     }
 
     /// Replaces the configuration if this one is newer.
-    pub fn set_catalogue(&mut self, catalogue: Catalogue) {
+    pub fn set_catalogue(&mut self, catalogue: Catalogue, now: Now) {
         let version = catalogue.version();
         if let Some(current) = &self.catalogue
             && current.version() >= version
         {
             return;
         }
-        tracing::info!(event = "HH1201", version, "configuration applied");
+        // The former copy was current at its last confirmation, so this version is not older.
+        let age_ms = self.freshness.age_ms(now);
+        tracing::info!(event = "HH1201", version, ?age_ms, "configuration applied");
+        if let Some(age_ms) = age_ms {
+            telemetry::record_configuration_delay(age_ms);
+        }
         self.catalogue = Some(Arc::new(catalogue));
     }
 
--- a/crates/hemlockhitch_gateway/src/telemetry/mod.rs
+++ b/crates/hemlockhitch_gateway/src/telemetry/mod.rs
@@ -134,6 +134,22 @@
     metrics::counter!("gateway_resumes").increment(1);
 }
 
+/// Counts a failed call of another node's feed by whether a part of its reply arrived.
+pub(crate) fn count_failed_feed_call(received_bytes: u64) {
+    let received = if received_bytes > 0 {
+        "part"
+    } else {
+        "nothing"
+    };
+    metrics::counter!("gateway_failed_feed_calls", "received" => received).increment(1);
+}
+
+/// Records how old the copy of the configuration was that a new version replaced, which
+/// bounds the time since the version was stored.
+pub(crate) fn record_configuration_delay(age_ms: u64) {
+    metrics::histogram!("gateway_configuration_delay_ms").record(to_f64(age_ms));
+}
+
 /// Counts a peer whose connection was ended because it made no progress.
 pub(crate) fn count_stalled(peer: &'static str) {
     metrics::counter!("gateway_stalled", "peer" => peer).increment(1);
