Continue calls for the configuration while their replies arrive

Cause: a feed call could take 0.3 s beyond its wait, and a call of the store 0.7 s, whatever the size of the reply. A copy of the configuration takes 0.4 to 0.8 s on a link of 10 Mbit/s, so the follower dropped it, did not ask that node for 3 s, and lost the next copies in the same way.

A node sends large changes at half of its capacity a second and tells other followers so, which then ask the store: twenty copies over one slow link would take 8 s.

--- a/crates/hemlockhitch_client/src/lib.rs
+++ b/crates/hemlockhitch_client/src/lib.rs
@@ -3,13 +3,16 @@
 //! Its errors distinguish requests that were never sent, requests that may have
 //! taken effect, and responses with an error status.
 
+mod arrival;
 mod error;
 
+pub use arrival::{Arrival, wait_while_arriving};
 pub use error::{HttpError, HttpErrorKind};
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -104,6 +107,40 @@
         }
     }
 
+    /// Sends a request and reads the whole response, whatever its status and size: beyond
+    /// `request_timeout`, the call is continued while the response arrives.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection fails, or when `request_timeout` has passed and the
+    /// response stops arriving.
+    pub async fn fetch_large(
+        &self,
+        request: Request<Full<Bytes>>,
+        request_timeout: Duration,
+    ) -> Result<Answer, HttpError> {
+        let received_bytes = AtomicU64::new(0);
+        let exchange = async {
+            let response = self.inner.request(request).await?;
+            let (head, mut body) = response.into_parts();
+            let mut received = BytesMut::new();
+            while let Some(frame) = body.frame().await {
+                if let Ok(bytes) = frame?.into_data() {
+                    received.extend_from_slice(&bytes);
+                    received_bytes.store(received.len() as u64, Ordering::Relaxed);
+                }
+            }
+            Ok(Answer {
+                status: head.status,
+                headers: head.headers,
+                body: received.freeze(),
+            })
+        };
+        let received = || received_bytes.load(Ordering::Relaxed);
+        let answer = wait_while_arriving(exchange, request_timeout, received).await;
+        answer.unwrap_or_else(|| Err(HttpError::timed_out(request_timeout)))
+    }
+
     /// Posts a JSON message to `address`, written `ip:port`, and parses the JSON
     /// response.
     ///
--- a/crates/hemlockhitch_gateway/src/feed/mod.rs
+++ b/crates/hemlockhitch_gateway/src/feed/mod.rs
@@ -157,8 +157,12 @@
                 tracing::info!(event = "HH1261", %error, took_ms, received_bytes, ?age_ms, "failed to follow a peer");
                 telemetry::count_failed_feed_call(received_bytes);
                 let has_knowledge = position.revision > 0;
-                self.selector
-                    .record_unreachable(address, has_knowledge, now);
+                if error.is_overloaded && has_knowledge {
+                    self.selector.record_overloaded(now);
+                } else {
+                    self.selector
+                        .record_unreachable(address, has_knowledge, now);
+                }
                 return;
             }
         };
--- a/crates/hemlockhitch_gateway/src/peer/client.rs
+++ b/crates/hemlockhitch_gateway/src/peer/client.rs
@@ -3,9 +3,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use hemlockhitch_client::wait_while_arriving;
 use hemlockhitch_ports::key_value::{Entry, WatchBatch};
 use thiserror::Error;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
+use tonic::Code;
 use tonic::transport::{Channel, Endpoint};
 use tower::service_fn;
 
@@ -14,7 +16,8 @@
 use crate::wire;
 use crate::wire::feed_client::FeedClient;
 
-/// How long a call may take beyond the wait that it requests.
+/// How long a call may take beyond the wait that it requests, if its reply does not arrive
+/// meanwhile.
 const CALL_MARGIN: Duration = Duration::from_millis(300);
 
 /// The same for a complete reply, which takes long on a slow link.
@@ -33,6 +36,8 @@
 pub(crate) struct FeedError {
     address: String,
     detail: String,
+    /// Whether the node has no bandwidth left for its reply.
+    pub(crate) is_overloaded: bool,
     /// How long the call took, in milliseconds.
     pub(crate) took_ms: u64,
     /// Bytes that arrived meanwhile.
@@ -95,6 +100,13 @@
     }
 }
 
+/// Why a call gave no reply.
+#[derive(Debug)]
+struct CallFailure {
+    detail: String,
+    is_overloaded: bool,
+}
+
 /// Calls nodes for the store's content.
 #[derive(Debug, Default)]
 pub(crate) struct FeedClients {
@@ -113,24 +125,31 @@
         let (channel, received) = counted.ok_or_else(|| FeedError {
             address: address.to_owned(),
             detail: "the address is invalid".to_owned(),
+            is_overloaded: false,
             took_ms: 0,
             received_bytes: 0,
         })?;
         let received_before = received.get();
-        let result = call(channel, request).await;
+        let received_bytes = || received.get() - received_before;
+        let result = call(channel, request, received_bytes).await;
         if result.is_err() {
             self.channels.remove(address);
         }
-        result.map_err(|detail| FeedError {
+        result.map_err(|failure| FeedError {
             address: address.to_owned(),
-            detail,
+            is_overloaded: failure.is_overloaded,
+            detail: failure.detail,
             took_ms: u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX),
-            received_bytes: received.get() - received_before,
+            received_bytes: received_bytes(),
         })
     }
 }
 
-async fn call(channel: Channel, request: wire::FollowRequest) -> Result<FeedReply, String> {
+async fn call(
+    channel: Channel,
+    request: wire::FollowRequest,
+    received_bytes: impl Fn() -> u64,
+) -> Result<FeedReply, CallFailure> {
     let mut client = FeedClient::new(channel).max_decoding_message_size(MAX_REPLY_BYTES);
     let margin = if request.revision == 0 {
         COMPLETE_CALL_MARGIN
@@ -138,10 +157,16 @@
         CALL_MARGIN
     };
     let call_timeout = margin + Duration::from_millis(request.wait_ms);
-    match timeout(call_timeout, client.follow(request)).await {
-        Ok(Ok(reply)) => Ok(read_reply(reply.into_inner())),
-        Ok(Err(status)) => Err(status.message().to_owned()),
-        Err(_) => Err("timed out".to_owned()),
+    match wait_while_arriving(client.follow(request), call_timeout, received_bytes).await {
+        Some(Ok(reply)) => Ok(read_reply(reply.into_inner())),
+        Some(Err(status)) => Err(CallFailure {
+            detail: status.message().to_owned(),
+            is_overloaded: status.code() == Code::ResourceExhausted,
+        }),
+        None => Err(CallFailure {
+            detail: "timed out".to_owned(),
+            is_overloaded: false,
+        }),
     }
 }
 
--- a/crates/hemlockhitch_gateway/src/peer/server.rs
+++ b/crates/hemlockhitch_gateway/src/peer/server.rs
@@ -42,6 +42,13 @@
 /// take; the rest is for requests and other replies.
 const COMPLETE_REPLIES_DIVISOR: u64 = 4;
 
+/// The same for large changes, which must reach every follower within seconds.
+const LARGE_CHANGES_DIVISOR: u64 = 2;
+
+/// Size from which a change counts as large, in bytes: smaller ones cost less than another
+/// call.
+const LARGE_CHANGE_BYTES: u64 = 64 * 1_024;
+
 /// Bytes per second that a capacity of one stands for: a megabit per second.
 const BYTES_PER_CAPACITY: u64 = 125_000;
 
@@ -54,6 +61,7 @@
 struct FeedService<D, C> {
     node_context: NodeContext<D, C>,
     complete_replies: Mutex<ByteBudget>,
+    large_changes: Mutex<ByteBudget>,
 }
 
 /// Serves the feed and requests that other nodes pass on `address`, in the background, until
@@ -72,11 +80,12 @@
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let capacity = u64::from(node_context.settings().peer_capacity);
-    let bytes_per_s = capacity * BYTES_PER_CAPACITY / COMPLETE_REPLIES_DIVISOR;
+    let budget = |divisor| Mutex::new(ByteBudget::new(capacity * BYTES_PER_CAPACITY / divisor));
     let peer_service = PeerService {
         feed: FeedServer::new(FeedService {
             node_context,
-            complete_replies: Mutex::new(ByteBudget::new(bytes_per_s)),
+            complete_replies: budget(COMPLETE_REPLIES_DIVISOR),
+            large_changes: budget(LARGE_CHANGES_DIVISOR),
         }),
         gateway,
         readiness,
@@ -195,9 +204,9 @@
             return Err(Status::unavailable("the node does not know the store yet"));
         };
         let batch = self.node_context.mirror().changes_since(known);
-        if batch.complete && !self.may_send(&batch, now) {
+        if !self.may_send(&batch, now) {
             return Err(Status::resource_exhausted(
-                "the node sends complete copies to others; ask another source",
+                "the node's link is in use for other followers; ask another source",
             ));
         }
         let loads = self.node_context.loads_except(&request.node);
@@ -225,15 +234,20 @@
 }
 
 impl<D: Dialect, C: Clock> FeedService<D, C> {
-    /// Returns whether a complete batch fits into what the node sends of them.
+    /// Returns whether a batch fits into what the node sends of complete and large ones.
     fn may_send(&self, batch: &WatchBatch, now: Now) -> bool {
         let entries = batch.written.iter();
         let bytes: usize = entries
             .map(|entry| entry.key.len() + entry.value.len())
             .sum();
-        let budget = self.complete_replies.lock();
-        let mut budget = budget.unwrap_or_else(PoisonError::into_inner);
-        budget.take(bytes as u64, now)
+        let bytes = bytes as u64;
+        let budget = match batch.complete {
+            true => &self.complete_replies,
+            false if bytes >= LARGE_CHANGE_BYTES => &self.large_changes,
+            false => return true,
+        };
+        let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.take(bytes, now)
     }
 }
 
--- a/crates/hemlockhitch_routing/src/source/mod.rs
+++ b/crates/hemlockhitch_routing/src/source/mod.rs
@@ -264,6 +264,12 @@
         }
     }
 
+    /// Records that a node has no bandwidth left for its reply. The store is followed for a
+    /// while: the node's other followers may take long to load the same change from it.
+    pub fn record_overloaded(&mut self, now: Now) {
+        self.store_fallback_until_mono_ms = now.mono_ms + STORE_FALLBACK_MS;
+    }
+
     /// Records that the store did not answer. It is not asked for a while that grows with
     /// each failure and is longer for nodes on which fewer others depend.
     pub fn record_store_failure(&mut self, now: Now) {
--- a/crates/hemlockhitch_routing/tests/source.rs
+++ b/crates/hemlockhitch_routing/tests/source.rs
@@ -295,3 +295,34 @@
         assert!(age_ms <= Some(2_300), "{nodes} nodes: {age_ms:?}");
     }
 }
+
+/// Guards against a follower that waits for a hub which has no bandwidth left, while the
+/// store could serve it.
+#[test]
+fn node_follows_the_store_for_a_while_when_its_hub_is_overloaded() {
+    let hub = FollowableNode {
+        name: "hub",
+        address: "10.0.0.1:1",
+        data_centre: "dc",
+        capacity: 200,
+    };
+    let own = FollowableNode {
+        name: "node",
+        address: "10.0.0.2:1",
+        capacity: 20,
+        ..hub
+    };
+    let mut selector = SourceSelector::new(own, at(0));
+    let asks_store = |selector: &mut SourceSelector, ms: u64| {
+        selector.select([hub, own].into_iter(), Some(300), at(ms)) == Source::Store
+    };
+    assert!(!asks_store(&mut selector, 1_000));
+    selector.record_overloaded(at(1_000));
+    assert!(asks_store(&mut selector, 1_000));
+    assert!(asks_store(&mut selector, 1_900));
+    assert!(!asks_store(&mut selector, 2_000));
+    // The hub is asked if the store does not answer either.
+    selector.record_overloaded(at(3_000));
+    selector.record_store_failure(at(3_100));
+    assert!(!asks_store(&mut selector, 3_110));
+}
