--- a/crates/hemlockhitch_routing/src/fleet/endpoint.rs
+++ b/crates/hemlockhitch_routing/src/fleet/endpoint.rs
@@ -51,7 +51,7 @@
 impl Endpoint {
     pub(super) fn new(entry: EndpointEntry, now: Now) -> Self {
         Self {
-            cold_until_mono_ms: now.mono_ms + entry.cold_remaining_ms,
+            cold_until_mono_ms: now.mono_ms.saturating_add(entry.cold_remaining_ms),
             name_hash: hash_bytes(entry.name.as_str()),
             paused_until_mono_ms: 0,
             is_leaving: false,
@@ -134,7 +134,8 @@
     /// counts.
     pub fn record_cold(&mut self, cold_remaining_ms: u64, now: Now) {
         if cold_remaining_ms > 0 {
-            self.cold_until_mono_ms = self.cold_until_mono_ms.max(now.mono_ms + cold_remaining_ms);
+            let until_mono_ms = now.mono_ms.saturating_add(cold_remaining_ms);
+            self.cold_until_mono_ms = self.cold_until_mono_ms.max(until_mono_ms);
         }
     }
 
@@ -212,7 +213,7 @@
     pub fn requests(&self, now: Now) -> f64 {
         let own = f64::from(self.in_flight);
         let reported = self.load.map_or(0.0, |(load, at)| {
-            let reported = f64::from(load.running + load.waiting);
+            let reported = f64::from(load.running) + f64::from(load.waiting);
             (reported - own).max(0.0) * report_decay(at, now)
         });
         let peer = self.peer_requests.map_or(0.0, |(outstanding, at)| {
