Take a block without an id in a resumed stream for a broken stream

Cause: the next endpoint of a stream that broke off may answer with status 200 and a signature, but with the text of an error. A block without an id was relayed like an event, and the end of such a response ended the stream. Errors with a status of their own were handled: the stream breaks off.

Change: once events with ids were relayed, a block without an id is passed on only if it is a comment; otherwise the stream counts as broken and is resumed or broken off. A response without a length that ends before its first event does not complete a stream: it cannot be told from a connection closed too soon.

Why it works: events have increasing ids, and an endpoint repeats none of them.

--- a/crates/hemlockhitch_gateway/src/attempt/send.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/send.rs
@@ -286,7 +286,7 @@
         }
         // A caller that resumes after the last event receives only the end of the
         // stream.
-        Ok(StreamItem::End) if history.last_event_id.is_some() => {
+        Ok(StreamItem::End) if history.last_event_id.is_some() && stream.has_explicit_end() => {
             stream.put_back_end();
             None
         }
--- a/crates/hemlockhitch_gateway/src/attempt/stream.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/stream.rs
@@ -5,6 +5,7 @@
 use hemlockhitch_model::Clock;
 use hemlockhitch_routing::limits::{Claim, FIRST_STEP_BYTES};
 use http::Response;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::sleep;
@@ -98,9 +99,16 @@
         }
         loop {
             if let Some(event) = self.splitter.next_event() {
-                return match (event.id, last_event_id) {
-                    (Some(id), Some(last_event_id)) if id <= last_event_id => StreamItem::Broken,
-                    _ => StreamItem::Event(event),
+                let follows = match (event.id, last_event_id) {
+                    (Some(id), Some(last_event_id)) => id > last_event_id,
+                    // The events of a stream have ids, so this is the text of an error.
+                    (None, Some(_)) => event.is_comment,
+                    (_, None) => true,
+                };
+                return if follows {
+                    StreamItem::Event(event)
+                } else {
+                    StreamItem::Broken
                 };
             }
             let partial_bytes = self.splitter.buffered_bytes() as u64;
@@ -130,6 +138,13 @@
         std::mem::take(&mut self.received_bytes)
     }
 
+    /// Returns whether the response states where its body ends. If not, its end cannot be told
+    /// from a connection that the endpoint closed too soon.
+    pub(super) fn has_explicit_end(&self) -> bool {
+        let headers = self.head.headers();
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    }
+
     pub(super) fn put_back(&mut self, event: Event) {
         self.put_back = Some(StreamItem::Event(event));
     }
--- a/crates/hemlockhitch_gateway/src/events.rs
+++ b/crates/hemlockhitch_gateway/src/events.rs
@@ -7,6 +7,8 @@
 pub(crate) struct Event {
     /// The event's id, if it has a numeric one.
     pub(crate) id: Option<u64>,
+    /// Whether it has only comments.
+    pub(crate) is_comment: bool,
     /// The event as it was received.
     pub(crate) bytes: Bytes,
 }
@@ -28,7 +30,13 @@
         let end = find_event_end(&self.buffer)?;
         let bytes = self.buffer.split_to(end).freeze();
         let id = parse_event_id(&bytes);
-        Some(Event { id, bytes })
+        let mut lines = bytes.split(|byte| matches!(byte, b'\r' | b'\n'));
+        let is_comment = lines.all(|line| line.is_empty() || line.starts_with(b":"));
+        Some(Event {
+            id,
+            is_comment,
+            bytes,
+        })
     }
 
     /// Returns the number of bytes that are buffered.
