Repeat no request on a connection on which it was refused

What callers saw: "not run, try again" for a request that an endpoint was running (REFUSED), or a second run at another endpoint (TWICE).

Cause: a faulty endpoint sent an earlier refusal once more when the request was repeated on the same kept connection after others. Only the last request of a connection was remembered, so the repetition could share the connection, and the id of the refusal fitted it.

Change: a connection remembers the requests that were refused on it, 64 at most, and carries none of them again; after 64 refusals it is closed.

Why it works: a surplus response with a request's id can only come on a connection that carried it before.

--- a/crates/hemlockhitch_gateway/src/attempt/send.rs
+++ b/crates/hemlockhitch_gateway/src/attempt/send.rs
@@ -138,7 +138,7 @@
         history: &AttemptHistory,
         slot: EndpointSlot<D, C>,
         response: Response<Incoming>,
-        connection: Connection,
+        mut connection: Connection,
         response_timeout: Duration,
     ) -> (
         Result<AcceptedResponse<D, C>, AttemptFailure>,
@@ -202,6 +202,9 @@
             head: Response::from_parts(head, ()),
             body,
         };
+        if metadata.not_run {
+            connection.record_refusal();
+        }
         self.node_context
             .connection_pool()
             .release(connection, metadata.keepalive_ms);
--- a/crates/hemlockhitch_gateway/src/connection/mod.rs
+++ b/crates/hemlockhitch_gateway/src/connection/mod.rs
@@ -26,6 +26,9 @@
 /// its close may already be on the way.
 const IDLE_TIMEOUT_MARGIN_MS: u64 = 700;
 
+/// Number of refusals after which a connection is not used again.
+const MAX_REFUSALS: usize = 64;
+
 /// Maximum number of idle connections to an endpoint or a node.
 const MAX_IDLE_PER_REMOTE: usize = 32;
 
@@ -53,10 +56,26 @@
     remote: Remote,
     /// Hash of the id of the last request that was sent on it.
     last_request: u64,
+    /// Hashes of the ids of the requests that were refused as not run on it. The other end may
+    /// send such a refusal once more when the request is repeated.
+    refused_requests: Vec<u64>,
     sender: SendRequest<Full<Bytes>>,
     _task: TaskGuard,
 }
 
+impl Connection {
+    /// Records that the last request was refused as not run.
+    pub(crate) fn record_refusal(&mut self) {
+        self.refused_requests.push(self.last_request);
+    }
+
+    /// Returns whether a surplus response on the connection might be taken for the response
+    /// to a request.
+    fn may_confuse(&self, request_hash: u64) -> bool {
+        self.last_request == request_hash || self.refused_requests.contains(&request_hash)
+    }
+}
+
 /// Aborts the connection's task when the connection is dropped.
 #[derive(Debug)]
 struct TaskGuard(AbortHandle);
@@ -96,7 +115,7 @@
     ///
     /// The other end may send a surplus response late, so that it looks like the response to
     /// the next request on the connection. Callers compare its id, and no request is sent
-    /// on a connection whose last request had the same id.
+    /// on a connection whose last request had the same id, or on which it was refused.
     pub(crate) async fn send(
         &self,
         remote: Remote,
@@ -157,7 +176,8 @@
         let idle_ms = keepalive_ms.map_or(DEFAULT_IDLE_TIMEOUT_MS, |keepalive_ms| {
             keepalive_ms.saturating_sub(IDLE_TIMEOUT_MARGIN_MS)
         });
-        if connection.sender.is_closed() || idle_ms == 0 {
+        let has_refused_many = connection.refused_requests.len() >= MAX_REFUSALS;
+        if connection.sender.is_closed() || idle_ms == 0 || has_refused_many {
             return;
         }
         let expires_at = Instant::now() + Duration::from_millis(idle_ms);
@@ -177,14 +197,14 @@
         idle.remove(&Remote::Endpoint(endpoint));
     }
 
-    /// Takes the most recently used idle connection whose last request was another one.
+    /// Takes the most recently used idle connection that may carry a request.
     fn take_idle(&self, remote: Remote, request_hash: u64) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let pooled = idle.get_mut(&remote)?;
         pooled.retain(|idle| now < idle.expires_at && !idle.connection.sender.is_closed());
         let ready = pooled.iter().rposition(|idle| {
-            idle.connection.sender.is_ready() && idle.connection.last_request != request_hash
+            idle.connection.sender.is_ready() && !idle.connection.may_confuse(request_hash)
         })?;
         Some(pooled.remove(ready).connection)
     }
--- a/crates/hemlockhitch_gateway/src/connection/open.rs
+++ b/crates/hemlockhitch_gateway/src/connection/open.rs
@@ -60,6 +60,7 @@
     Ok(Connection {
         remote,
         last_request: 0,
+        refused_requests: Vec::new(),
         sender,
         _task: TaskGuard(task.abort_handle()),
     })
