--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -192,14 +192,17 @@
     let mut arguments = env::args().skip(1);
     let play = arguments.next().unwrap_or_default();
     let path = arguments.next().unwrap_or_else(|| exit(2));
-    let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    // "0" leaves out both disruptions, "drill" and "kill" bring about that one alone.
+    let trouble = env::var("TROUBLE").unwrap_or_default();
+    let has_drill = !matches!(trouble.as_str(), "0" | "kill");
+    let has_kill = !matches!(trouble.as_str(), "0" | "drill");
     let record = Record {
         file: Arc::new(Mutex::new(File::create(path).unwrap_or_else(|_| exit(2)))),
         started: Instant::now(),
         runs: Arc::default(),
     };
     let verdict = match play.as_str() {
-        "restart-in-drill" => restart_in_drill(&record, has_trouble),
+        "restart-in-drill" => restart_in_drill(&record, has_drill, has_kill),
         _ => 2,
     };
     record.line(&format!("verdict: {verdict} (1: the rule was broken, 0: it held, 2: could not run)"));
@@ -208,7 +211,7 @@
 
 /// The store returns from an older copy while a node starts. A key that was taken away
 /// before must not work later than `revokeMs` after the acknowledgement.
-fn restart_in_drill(record: &Record, has_trouble: bool) -> i32 {
+fn restart_in_drill(record: &Record, has_drill: bool, has_kill: bool) -> i32 {
     let store = Store::start();
     let engine = start_engine(record);
     let beating = store.clone();
@@ -263,21 +266,25 @@
         }
     }
     since(3.0);
-    if has_trouble {
+    if has_drill {
         store.go_away();
         record.line("store    away");
-        since(3.1);
+    }
+    since(3.1);
+    if has_kill {
         let node = &mut fleet.nodes[RESTARTED];
         node.stop();
         node.start();
         let line = format!("platform {} is killed and started again", node.name);
         record.line(&line);
-        since(4.5);
+    }
+    since(4.5);
+    if has_drill {
         store.return_from(copy);
         record.line("store    back from the copy");
     }
     let rewrite = acknowledged + Duration::from_secs_f64(6.5);
-    let mut is_rewritten = !has_trouble;
+    let mut is_rewritten = !has_drill;
     let mut late_ids = Vec::new();
     let end = acknowledged + Duration::from_secs(9);
     while Instant::now() < end {
