Add review case 6: a deadly stream is never held back

A request whose engine crashes after the first event of its stream is resumed at the next engine, and the crash is not recorded. It crashes three engines each time it comes, and BUDGET breaks.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -25,6 +25,7 @@
 const DIGEST: &str = "/digest/2f";
 const HOLD: &str = "/hold/2f";
 const DEADLY_HOLD: &str = "/hold/deadly";
+const DEADLY_DIGEST: &str = "/digest/deadly";
 
 /// How a case ended.
 pub enum Verdict {
@@ -93,7 +94,8 @@
 impl Case {
     pub fn play(&self, name: &str) -> Result<Verdict, String> {
         match name {
-            "deadly" => self.deadly(),
+            "deadly" => self.deadly(false),
+            "deadly-stream" => self.deadly(true),
             "revoke" => self.revoke(),
             "watch-cut" => self.watch_cut(),
             _ => Err(format!("there is no case {name}")),
@@ -141,21 +143,27 @@
     }
 
     /// A request that crashes each engine that begins to run it comes again at one machine
-    /// after the other.
-    fn deadly(&self) -> Result<Verdict, String> {
+    /// after the other: a plain one, or one whose answer is a stream, which ends in the middle
+    /// of its second event.
+    fn deadly(&self, is_stream: bool) -> Result<Verdict, String> {
         const NODES: usize = 8;
-        const ENGINES: usize = 3;
         const INTERVAL_MS: u128 = 2_000;
         const REPEATS: usize = 16;
         const BACK_AFTER: Duration = Duration::from_secs(3);
         let deployment = self.deploy(NODES)?;
+        // The engines of the sheet.
+        let (service, path, engine_count) = if is_stream {
+            ("models", DEADLY_DIGEST, 9)
+        } else {
+            ("app", DEADLY_HOLD, 3)
+        };
         let behaviour = Behaviour {
-            service: "app".to_owned(),
+            service: service.to_owned(),
             work_ms: 30,
-            streams: false,
-            deadly_prefix: self.has_trouble.then(|| DEADLY_HOLD.to_owned()),
+            streams: is_stream,
+            deadly_prefix: self.has_trouble.then(|| path.to_owned()),
         };
-        let mut engines: Vec<Engine> = (0..ENGINES)
+        let mut engines: Vec<Engine> = (0..engine_count)
             .map(|index| self.start_engine(&deployment, &format!("i-{index}-0"), &behaviour))
             .collect();
         thread::sleep(Duration::from_secs(1));
@@ -164,8 +172,8 @@
         thread::scope(|scope| {
             scope.spawn(|| {
                 // A crashed engine is back after some seconds, as a new instance.
-                let mut down_since: Vec<Option<std::time::Instant>> = vec![None; ENGINES];
-                let mut starts = [0; ENGINES];
+                let mut down_since: Vec<Option<std::time::Instant>> = vec![None; engine_count];
+                let mut starts = vec![0; engine_count];
                 while !is_over.load(Ordering::SeqCst) {
                     for (index, engine) in engines.iter_mut().enumerate() {
                         if !engine.is_down() {
@@ -189,7 +197,14 @@
                         return;
                     }
                     let node = &deployment.nodes[index % NODES];
-                    let request = hold(format!("o{index:015x}"), HOLD);
+                    let request = if is_stream {
+                        digest(&format!("o{index:015x}"), KEY, 1_000 + index, 0)
+                    } else {
+                        Request {
+                            body: format!("{{\"hold\":\"variant {index}\"}}").into_bytes(),
+                            ..hold(format!("o{index:015x}"), HOLD)
+                        }
+                    };
                     let lost = &lost;
                     scope.spawn(move || {
                         let answer = request.send(node.callers);
@@ -206,8 +221,17 @@
                 self.record
                     .sleep_until(started_ms + repeat as u128 * INTERVAL_MS);
                 let node = &deployment.nodes[repeat % NODES];
+                let id = format!("d{repeat:015x}");
+                let request = if is_stream {
+                    Request {
+                        path: path.to_owned(),
+                        ..digest(&id, KEY, 18_000, 0)
+                    }
+                } else {
+                    hold(id, path)
+                };
                 // The answer is in the record; nobody waits for it.
-                let _ = self.send(&hold(format!("d{repeat:015x}"), DEADLY_HOLD), node);
+                let _ = self.send(&request, node);
             }
             is_over.store(true, Ordering::SeqCst);
         });
--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -23,10 +23,16 @@
 impl Request {
     fn head(&self) -> String {
         let prompt = if self.has_prompt {
-            "Hemlockhitch-Model: *\r\nHemlockhitch-Token-Usage: 1460,80\r\n\
-             Hemlockhitch-Prefix-Hash: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n"
+            // The last part belongs to the request itself.
+            let digits = self.id.bytes().fold(0_u32, |hash, byte| {
+                (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+            });
+            format!(
+                "Hemlockhitch-Model: *\r\nHemlockhitch-Token-Usage: 1460,80\r\n\
+                 Hemlockhitch-Prefix-Hash: 5c1e07a2:800,91bd3f06:410,{digits:x}:250\r\n"
+            )
         } else {
-            ""
+            String::new()
         };
         format!(
             "POST {} HTTP/1.1\r\nHost: ficu95.example\r\nHemlockhitch-Attempt-Id: {}\r\n{prompt}\
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -14,6 +14,12 @@
 /// Interval at which an engine writes its registration, `heartbeatMs` of the settings.
 pub const HEARTBEAT_MS: u64 = 1_200;
 
+/// Number of events of a stream.
+const EVENTS: u64 = 13;
+
+/// Time between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A request that reached an engine.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -224,7 +230,7 @@
         crashed: is_deadly,
     });
     thread::sleep(Duration::from_millis(shared.behaviour.work_ms));
-    if is_deadly {
+    if is_deadly && !shared.behaviour.streams {
         shared.crash();
         return Ok(());
     }
@@ -241,9 +247,19 @@
          {}: {}\r\n{}: {}\r\n\r\n",
         id.0, id.1, signature.0, signature.1
     )?;
-    for event in 1..=3 {
+    let last_event = head.get("last-event-id").and_then(|id| id.parse().ok());
+    let first_event: u64 = last_event.unwrap_or(0) + 1;
+    for event in first_event..=EVENTS {
         let text = format!("id: {event}\ndata: word\n\n");
+        if is_deadly && event > first_event {
+            // It ends in the middle of its second event.
+            write!(stream, "{:x}\r\n{}", text.len(), &text[..text.len() / 2])?;
+            thread::sleep(EVENT_INTERVAL);
+            shared.crash();
+            return Ok(());
+        }
         write!(stream, "{:x}\r\n{text}\r\n", text.len())?;
+        thread::sleep(EVENT_INTERVAL);
     }
     stream.write_all(b"0\r\n\r\n")
 }
