--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -24,6 +24,7 @@
 /// Paths of the routes of the configuration.
 const DIGEST: &str = "/digest/2f";
 const HOLD: &str = "/hold/2f";
+const PAGE: &str = "/page/2f";
 const DEADLY_HOLD: &str = "/hold/deadly";
 const DEADLY_DIGEST: &str = "/digest/deadly";
 
@@ -59,7 +60,8 @@
     format!(
         r#"{{"version":{version},"routes":[
 {{"name":"r-digest","host":"ficu95.example","prefix":"/digest/","routeKind":"streaming","timeoutMs":8000,"sloMs":2000,"priority":1,"sizes":["m0","m1","m2"],"service":"models","maxAttempts":3,"public":false,"sticky":true,"resumable":true,"itlTargetMs":800}},
-{{"name":"r-hold","host":"ficu95.example","prefix":"/hold/","routeKind":"non_idempotent","timeoutMs":1200,"sloMs":150,"priority":2,"service":"app","maxAttempts":1,"public":false}}],
+{{"name":"r-hold","host":"ficu95.example","prefix":"/hold/","routeKind":"non_idempotent","timeoutMs":1200,"sloMs":150,"priority":2,"service":"app","maxAttempts":1,"public":false}},
+{{"name":"r-page","host":"ficu95.example","prefix":"/page/","routeKind":"idempotent","timeoutMs":1200,"sloMs":150,"priority":2,"service":"app","maxAttempts":2,"public":true}}],
 "services":[{{"name":"models","healthPath":"/healthz","maxConns":620,"protocol":"h1","tls":false,"coldS":0.0,"coldPerS":0.0}},
 {{"name":"app","healthPath":"/healthz","maxConns":110,"protocol":"h1","tls":false,"coldS":0.0,"coldPerS":0.0}}],
 "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},
@@ -98,6 +100,7 @@
             "deadly-stream" => self.deadly(true),
             "revoke" => self.revoke(),
             "watch-cut" => self.watch_cut(),
+            "public" => self.public(),
             _ => Err(format!("there is no case {name}")),
         }
     }
@@ -317,6 +320,61 @@
         })
     }
 
+    /// A key is taken away while the store turns a machine away; a request with the key to a
+    /// public route reaches an engine in the name of the tenant that held it.
+    fn public(&self) -> Result<Verdict, String> {
+        let deployment = self.deploy(1)?;
+        let behaviour = Behaviour {
+            service: "app".to_owned(),
+            work_ms: 30,
+            streams: false,
+            deadly_prefix: None,
+        };
+        let _engine = self.start_engine(&deployment, "i-40f425ee", &behaviour);
+        let node = &deployment.nodes[0];
+        thread::sleep(Duration::from_secs(1));
+        let page = |id: &str| Request {
+            key: TAKEN_KEY.to_owned(),
+            ..hold(id.to_owned(), PAGE)
+        };
+        if self.send(&page("before"), node) != Ok(200) {
+            return Err("a request before the change was not served".to_owned());
+        }
+        if self.has_trouble {
+            deployment.store.set_refusing(&node.access, true);
+            self.record.add("the store turns the machine away (503)");
+        }
+        thread::sleep(Duration::from_millis(200));
+        deployment.store.put("op/config", &configuration(2, &[KEY]));
+        let acknowledged_ms = self
+            .record
+            .add("the store acknowledges version 2 without the key");
+        let mut sent_ms = 0;
+        for request in 0..5 {
+            self.record
+                .sleep_until(acknowledged_ms + REVOKE_MS + 500 + request * 500);
+            if sent_ms == 0 {
+                sent_ms = self.record.now_ms();
+            }
+            let _ = self.send(&page(&format!("after-{request}")), node);
+        }
+        let arrivals = deployment.arrivals();
+        let foreign = arrivals
+            .iter()
+            .filter(|arrival| arrival.request.starts_with("after") && arrival.tenant.is_some());
+        let foreign = foreign.count();
+        let line = format!(
+            "{foreign} of 5 requests that were sent {} ms or more after their key was taken away \
+             reached the engine in the name of the tenant that had held it",
+            sent_ms - acknowledged_ms
+        );
+        Ok(if foreign > 0 {
+            Verdict::Broken(line)
+        } else {
+            Verdict::Held(line)
+        })
+    }
+
     /// A waiting watch is cut, and just after it an engine leaves whose registration is
     /// removed.
     fn watch_cut(&self) -> Result<Verdict, String> {
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -26,6 +26,7 @@
     pub at_ms: u128,
     pub request: String,
     pub engine: String,
+    pub tenant: Option<String>,
     pub crashed: bool,
 }
 
@@ -217,16 +218,18 @@
     }
     let is_deadly = shared.behaviour.deadly_prefix.as_ref();
     let is_deadly = is_deadly.is_some_and(|prefix| path.starts_with(prefix.as_str()));
-    let tenant = head.get("hemlockhitch-tenant").unwrap_or("-");
+    let tenant = head.get("hemlockhitch-tenant");
     let ends = if is_deadly { "; crashes" } else { "" };
     let at_ms = shared.record.add(format!(
-        "engine {} runs {request} {path} tenant {tenant}, {body_bytes} body bytes{ends}",
-        shared.name
+        "engine {} runs {request} {path} tenant {}, {body_bytes} body bytes{ends}",
+        shared.name,
+        tenant.unwrap_or("none")
     ));
     shared.arrivals.lock().expect("lock").push(Arrival {
         at_ms,
         request,
         engine: shared.name.clone(),
+        tenant: tenant.map(str::to_owned),
         crashed: is_deadly,
     });
     thread::sleep(Duration::from_millis(shared.behaviour.work_ms));
