--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -20,6 +20,9 @@
 const CONTACT_MS: u128 = 3_000;
 const REVOKE_MS: u128 = 5_000;
 
+/// Length of a cut of one machine from the store in the site file.
+const CUT_MS: u128 = 5_500;
+
 /// Paths of the routes of the configuration.
 const DIGEST: &str = "/digest/2f";
 const HOLD: &str = "/hold/2f";
@@ -266,8 +269,8 @@
         })
     }
 
-    /// A key is taken away while the store turns a machine away; a request with the key
-    /// arrives over a slow link while the store serves the machine again.
+    /// A key is taken away while a machine is cut off from the store; a request with the
+    /// key arrives over a slow link while the cut ends.
     fn revoke(&self) -> Result<Verdict, String> {
         let deployment = self.deploy(1)?;
         let behaviour = Behaviour {
@@ -284,10 +287,11 @@
         }
         let start_ms = self.record.now_ms();
         if self.has_trouble {
-            deployment.store.set_refusing(&node.access, true);
-            self.record.add("the store turns the machine away (503)");
+            deployment.store.set_cut(&node.access, true);
+            self.record
+                .add("the machine is cut off from the store (reset)");
         }
-        self.record.sleep_until(start_ms + 200);
+        self.record.sleep_until(start_ms + 50);
         deployment.store.put("op/config", &configuration(2, &[KEY]));
         let acknowledged_ms = self
             .record
@@ -295,13 +299,13 @@
         let mut sent_ms = 0;
         thread::scope(|scope| {
             scope.spawn(|| {
-                self.record.sleep_until(start_ms + 7_000);
+                self.record.sleep_until(start_ms + CUT_MS);
                 if self.has_trouble {
-                    deployment.store.set_refusing(&node.access, false);
-                    self.record.add("the store serves the machine again");
+                    deployment.store.set_cut(&node.access, false);
+                    self.record.add("the cut ends");
                 }
             });
-            self.record.sleep_until(acknowledged_ms + REVOKE_MS + 500);
+            self.record.sleep_until(acknowledged_ms + REVOKE_MS + 100);
             sent_ms = self.record.now_ms();
             let _ = self.send(&digest("after", TAKEN_KEY, 110_000, 3_500), node);
         });
@@ -321,7 +325,7 @@
         })
     }
 
-    /// A key is taken away while the store turns a machine away; a request with the key to a
+    /// A key is taken away while a machine is cut off from the store; a request with the key to a
     /// public route reaches an engine in the name of the tenant that held it.
     fn public(&self) -> Result<Verdict, String> {
         let deployment = self.deploy(1)?;
@@ -342,10 +346,12 @@
             return Err("a request before the change was not served".to_owned());
         }
         if self.has_trouble {
-            deployment.store.set_refusing(&node.access, true);
-            self.record.add("the store turns the machine away (503)");
+            deployment.store.set_cut(&node.access, true);
+            self.record
+                .add("the machine is cut off from the store (reset)");
         }
-        thread::sleep(Duration::from_millis(200));
+        let start_ms = self.record.now_ms();
+        thread::sleep(Duration::from_millis(50));
         deployment.store.put("op/config", &configuration(2, &[KEY]));
         let acknowledged_ms = self
             .record
@@ -353,12 +359,17 @@
         let mut sent_ms = 0;
         for request in 0..5 {
             self.record
-                .sleep_until(acknowledged_ms + REVOKE_MS + 500 + request * 500);
+                .sleep_until(acknowledged_ms + REVOKE_MS + 50 + request * 60);
             if sent_ms == 0 {
                 sent_ms = self.record.now_ms();
             }
             let _ = self.send(&page(&format!("after-{request}")), node);
         }
+        self.record.sleep_until(start_ms + CUT_MS);
+        if self.has_trouble {
+            deployment.store.set_cut(&node.access, false);
+            self.record.add("the cut ends");
+        }
         let arrivals = deployment.arrivals();
         let foreign = arrivals
             .iter()
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -66,8 +66,8 @@
 /// How the store treats one machine.
 #[derive(Default)]
 pub struct Access {
-    /// Whether it turns the machine away with 503.
-    refuses: AtomicBool,
+    /// Whether the machine is cut off: its connections are reset.
+    is_cut: AtomicBool,
 }
 
 /// The store; clones share its content.
@@ -110,9 +110,9 @@
         self.content.1.notify_all();
     }
 
-    pub fn set_refusing(&self, access: &Access, refuses: bool) {
+    pub fn set_cut(&self, access: &Access, is_cut: bool) {
         let _content = self.lock();
-        access.refuses.store(refuses, Ordering::SeqCst);
+        access.is_cut.store(is_cut, Ordering::SeqCst);
         self.content.1.notify_all();
     }
 
@@ -126,27 +126,35 @@
     fn serve(&self, mut stream: TcpStream, access: &Access) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
-        while let Some(head) = read_head(&mut reader)? {
+        loop {
+            stream.peek(&mut [0])?;
+            if access.is_cut.load(Ordering::SeqCst) {
+                // Closing with unread bytes resets the connection.
+                return Ok(());
+            }
+            let Some(head) = read_head(&mut reader)? else {
+                return Ok(());
+            };
             let body = read_body(&mut reader, &head, false)?;
             thread::sleep(Duration::from_millis(4));
-            let (status, body) = if access.refuses.load(Ordering::SeqCst) {
-                refused()
-            } else {
-                self.answer(head.word(0), head.word(1), &body, access)
+            let answer = self.answer(head.word(0), head.word(1), &body, access);
+            let Some((status, body)) = answer.filter(|_| !access.is_cut.load(Ordering::SeqCst))
+            else {
+                return Ok(());
             };
             let json = [("Content-Type", "application/json".to_owned())];
             write_response(&mut stream, status, &json, body.as_bytes())?;
         }
-        Ok(())
     }
 
+    /// Answers a call; `None` if the machine is cut off meanwhile.
     fn answer(
         &self,
         method: &str,
         target: &str,
         body: &[u8],
         access: &Access,
-    ) -> (&'static str, String) {
+    ) -> Option<(&'static str, String)> {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let query: BTreeMap<&str, String> = query
             .split('&')
@@ -154,13 +162,13 @@
             .map(|(name, value)| (name, percent_decode(value)))
             .collect();
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
-        match (method, path) {
+        let answer = match (method, path) {
             ("GET", "/-/kv-key") => self.read_key(&text("key")),
             ("GET", "/-/kv-range") => self.read_range(&text("prefix"), query.get("after")),
             ("GET", "/-/kv-watch") => {
                 let after = text("after").parse().unwrap_or(0);
                 let wait_ms = text("waitMs").parse().unwrap_or(0);
-                self.watch(&text("prefix"), after, wait_ms, access)
+                return self.watch(&text("prefix"), after, wait_ms, access);
             }
             ("POST", "/-/kv-txn") => {
                 let body = Json::parse(&String::from_utf8_lossy(body));
@@ -177,7 +185,8 @@
             }
             ("DELETE", path) if path.starts_with("/-/kv-lease-end/") => ok("{}".to_owned()),
             _ => bad_request(),
-        }
+        };
+        Some(answer)
     }
 
     fn read_key(&self, key: &str) -> (&'static str, String) {
@@ -211,12 +220,12 @@
         after: u64,
         wait_ms: u64,
         access: &Access,
-    ) -> (&'static str, String) {
+    ) -> Option<(&'static str, String)> {
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let mut content = self.lock();
         loop {
-            if access.refuses.load(Ordering::SeqCst) {
-                return refused();
+            if access.is_cut.load(Ordering::SeqCst) {
+                return None;
             }
             let events = content.history.iter();
             let events = events
@@ -227,9 +236,9 @@
             if !events.is_empty() || left.is_zero() {
                 let revision = content.revision;
                 let events = events.join(",");
-                return ok(format!(
+                return Some(ok(format!(
                     "{{\"events\":[{events}],\"storeRevision\":{revision}}}"
-                ));
+                )));
             }
             let waited = self.content.1.wait_timeout(content, left);
             content = waited.expect("no thread panics with the lock").0;
@@ -274,10 +283,6 @@
     ("200 OK", body)
 }
 
-fn refused() -> (&'static str, String) {
-    ("503 Service Unavailable", String::new())
-}
-
 fn bad_request() -> (&'static str, String) {
     ("400 Bad Request", "{}".to_owned())
 }
